--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,585 @@
+package decide // Interface: api.go (settings, events, actions). Records: state.go. Every decision is here.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	tableBits = 13   // memento-hash table of 8192 buckets, so that claims seldom clash
+	claims    = 64   // buckets that a server claims
+	listLen   = 6    // candidates of a key
+	hotSeen   = 1.5  // arrivals in memory from which a key is solved singly; the hottest 32 at most
+	epsilon   = 1e-3 // relative change of F that ends the sweeps; 40 at most
+	keyTau    = 5000 // memory of the rates of keys and tenants, ms
+	sendTau   = 2000 // memory of own sends to a server, ms
+	minPause  = 500  // first pause of an ejected server, ms; doubles up to eight times that
+	maxStrike = 3    // signs of silence that eject
+	minAccept = 0.7  // accepted share that ejects
+)
+
+// Servers takes a list update.
+func (b *Balancer) Servers(now float64, kind ListKind, entries []Entry) {
+	b.begin(now)
+	if kind == Refused {
+		b.watchAt = now + 500 + 1000*b.rng.Float64() // spread, or all routers ask at once again
+		return
+	}
+	if b.watchAt = math.Inf(1); b.cfg.AskList && kind == Remembered {
+		b.watchAt = now // the next housekeeping asks
+	}
+	for _, s := range b.apply(kind, entries) {
+		if s.Started > now-b.cfg.Cold { // a new process has a new record
+			s.fresh, s.budget, s.ejected, s.strikes, s.accept = s.Started, rate{0, now}, false, 0, 1
+		}
+	}
+	b.buildTable()
+	b.dirty = true
+}
+
+// usable says whether a request, or with nil the solver, may use a server. An ejected one gets single trials.
+func (b *Balancer) usable(s *server, r *request) bool {
+	trial := s.ejected && r != nil && b.now >= s.trial && s.out == 0 && r.class.Effect == Repeatable
+	return s.listed && s.State == Ready && (trial || !s.ejected) && (r == nil || b.afford(s, r.work))
+}
+
+// observe draws from an outcome what it tells of the server's health.
+func (b *Balancer) observe(s *server, st Status, sent float64) {
+	ok := st == OK || st == Miss
+	switch {
+	case ok || st == Failed || st == QueueFull:
+		s.reply, s.strikes = b.now, 0
+	case st != TimedOut: // dead, or its table is full of idle connections: all routers hold fewer
+		s.strikes, b.keep = s.strikes+2, max(200, b.keep/2)
+	case s.reply < sent:
+		s.strikes++
+	default:
+		return // it answers others: this waited in line or for a fetch, and moving keys would add fetches
+	}
+	if !ok {
+		s.accept *= 0.88 // over eight outcomes: a server that fails fast must look expensive, not idle
+		if s.ejected || s.accept < minAccept || st == Reset || s.strikes >= maxStrike {
+			b.eject(s, st == TimedOut)
+		}
+		return
+	}
+	b.keep = min(b.cfg.ConnIdle, 1.01*b.keep)
+	s.accept, s.pause = s.accept+0.12*(1-s.accept), 0.8*s.pause
+	if s.ejected { // the trial came back: in again at half its channels, and one failure from going out again
+		s.ejected, s.accept, b.dirty = false, minAccept+0.05, true
+	}
+}
+
+// eject takes a server out of use. Silence of half the fleet is our own trouble or the origin's.
+func (b *Balancer) eject(s *server, silent bool) {
+	if silent && !s.ejected && (s.strikes < maxStrike || 2*ejected(b.order)+2 > len(b.order)) {
+		return
+	}
+	s.pause = min(8*minPause, max(minPause, 2*s.pause))
+	s.trial = b.now + s.pause*(0.75+0.5*b.rng.Float64()) // or all routers try at once
+	s.ejected, b.dirty = true, b.dirty || !s.ejected
+}
+
+// waitAt is the wait that a new request will find: by Little's law others hold their rate times the latency
+// seen, which fades, or one refusal would last for good. Own attempts out are known.
+func (b *Balancer) waitAt(s *server) float64 {
+	seen := math.Exp((s.lat.at - b.now) / 1000)
+	others := max(0, s.qps-b.perSecond(&s.sent, sendTau)) * s.lat.v / 1000 * seen
+	// Where each server is seldom asked, what all show is the best guess of a queue, and the only one.
+	guess := (b.jam.v - b.jam.floor) * math.Exp((b.jam.at-b.now)/2000)
+	if !s.ejected { // one taken for sick, tried as the last resort, has no better
+		guess *= b.seldom()
+	}
+	return max(0, guess) + max(0, (float64(s.out)+others+1)*1000/(b.capacity(s)*b.warmth(s))-s.lat.floor)
+}
+
+// seldom is near 1 where seconds pass between two own sends to a server, near 0 where there are many.
+func (b *Balancer) seldom() float64 {
+	return 1 - math.Exp(-float64(len(b.order))/(2*b.perSecond(&b.arrivals, keyTau)+0.01))
+}
+
+// capacity has a stand-in until a report comes, or the first second chokes all servers.
+func (b *Balancer) capacity(s *server) float64 {
+	if s.cap.v > 0 {
+		return s.cap.v
+	}
+	return b.typical(s, 4000/max(1, b.x.mean)) // or four channels
+}
+
+// learn takes a load report; absent and absurd figures are passed over.
+func (b *Balancer) learn(s *server, l Load) {
+	if !figure(l.QPS) || !figure(l.Util) || l == s.last {
+		return
+	}
+	if s.last, s.qps, s.heard = l, l.QPS, b.now; l.Util > 0.03 && l.QPS > 0 {
+		s.cap.see(b.now, l.QPS/min(l.Util, 1.5)/b.warmth(s), 0.2) // over five reports, as they are noisy
+	}
+}
+
+// buildTable fills the buckets of the memento-hash. A bucket that no listed server claims counts as removed:
+// the table follows from ids alone, not from an order of changes, and few keys move.
+func (b *Balancer) buildTable() {
+	b.epoch++
+	b.table = make([]*server, 1<<tableBits)
+	for _, s := range b.order {
+		for i := range claims {
+			slot := mix(uint64(s.ID)<<8|uint64(i)) >> (64 - tableBits)
+			if o := b.table[slot]; o == nil || mix(slot^uint64(s.ID)<<16) < mix(slot^uint64(o.ID)<<16) {
+				b.table[slot] = s
+			}
+		}
+	}
+}
+
+// list gives the first distinct servers of a key. Keys of a removed bucket are drawn again over the table.
+func (b *Balancer) list(k *flow) []*server {
+	if k.epoch != b.epoch {
+		k.list, k.epoch, k.v = nil, b.epoch, nil
+		for h, i := mix(k.id), 0; len(k.list) < min(listLen, len(b.order)) && i < 4<<tableBits; i++ {
+			if s := b.table[h>>(64-tableBits)]; s != nil && !slices.Contains(k.list, s) {
+				k.list = append(k.list, s)
+			}
+			h = mix(h)
+		}
+	}
+	return k.list
+}
+
+// candidates leaves out the servers that can't be used: they are skipped in their place.
+func (b *Balancer) candidates(k *flow) []*server {
+	return slices.DeleteFunc(slices.Clone(b.list(k)), func(s *server) bool { return !b.usable(s, nil) })
+}
+
+// delay gives λT(λ), the requests waiting at an M/G/m server by equations (2) to (5), and its two
+// derivatives. n channels serve mu a second each; c2 is X²/X̄².
+func delay(lam float64, n int, mu, c2 float64) (f, d, h float64) {
+	m := float64(n)
+	over := max(0, lam-0.98*m*mu) // λ_j < n_j·μ_o: past the guard a parabola keeps all finite
+	a := max((lam-over)/mu, 1e-9)
+	rho, e := a/m, 1.0
+	for k := 1.0; k <= m; k++ {
+		e = a * e / (k + a*e) // Erlang B
+	}
+	e1 := e * (m/a - 1 + e)
+	e2 := e1*(m/a-1+e) + e*(e1-m/(a*a))
+	q, q1, q2 := 1-rho*(1-e), rho*e1-(1-e)/m, 2*e1/m+rho*e2
+	p := e / q // equation (2)
+	p1 := (e1 - p*q1) / q
+	p2 := (e2 - 2*p1*q1 - p*q2) / q
+	g, k := 1/(1-rho), c2/2
+	f = k * rho * g * p
+	d = k * (g*g*p/m + rho*g*p1) / mu
+	h = k * (2*g*g*g*p/(m*m) + 2*g*g*p1/m + rho*g*p2) / (mu * mu)
+	return f + over*(d+over*h/2), d + over*h, h
+}
+
+// balance moves the rates x over the servers by the procedure of Table 1 and returns F.
+func (b *Balancer) balance(v []*server, x []float64) float64 {
+	var d, h [listLen]float64
+	c2 := b.x.ratio()
+	for sweep, was := 0, 0.0; ; sweep++ {
+		f, low, rest := 0.0, 0, 0.0
+		for j, s := range v {
+			var fj float64
+			fj, d[j], h[j] = delay(s.load+x[j], s.n, s.mu, c2)
+			if f, rest = f+fj, rest+x[j]; d[j] < d[low] {
+				low = j
+			}
+		}
+		if sweep == 40 || sweep > 0 && math.Abs(f-was) <= epsilon*f {
+			return f
+		}
+		for j := range v {
+			if j != low {
+				x[j] = max(0, x[j]-0.5*(d[j]-d[low])/(h[j]+h[low]+1e-12)) // equation (10)
+				rest -= x[j]
+			}
+		}
+		x[low], was = rest, f // equation (11)
+	}
+}
+
+// split starts a flow at its first server; later ones join, in ascending FDL, while the waiting falls.
+// Shares are solved at scaled rates, but a copy must save each request a fetch at the rates as they are.
+func (b *Balancer) split(k *flow, v []*server, total float64) {
+	c2 := b.x.ratio()
+	fdl := func(s *server) float64 { _, d, _ := delay(s.load, s.n, s.mu, c2); return d }
+	slices.SortStableFunc(v[1:], func(p, q *server) int { return cmp.Compare(fdl(p), fdl(q)) })
+	x := []float64{total}
+	for i := 1; i < len(v); i++ {
+		x = append(x, 0)
+		y, gain := slices.Clone(x), 0.0
+		b.balance(v[:i+1], y)
+		for j, s := range v[:i+1] {
+			f, _, _ := delay((s.load+x[j])/b.scale, s.n, s.mu, c2)
+			g, _, _ := delay((s.load+y[j])/b.scale, s.n, s.mu, c2)
+			gain += f - g
+		}
+		if gain <= total/b.scale*b.olat.v/1000+epsilon {
+			x = x[:i]
+			break
+		}
+		x = y
+	}
+	k.v, k.p = v[:len(x)], x
+	for j, s := range k.v {
+		s.load += x[j]
+		s.hot += x[j] / b.scale * (1 - b.portion)
+		x[j] /= total
+	}
+}
+
+// model sets channels and background of all servers and the scale to the utilisation that is solved for.
+func (b *Balancer) model() {
+	mu, mean, mine, total, room := 1000/max(1, b.x.mean), b.survey(), 0.0, 0.0, 0.0
+	for _, s := range b.order {
+		s.mu, s.n = mu, int(min(256, max(1, b.capacity(s)*s.accept*s.accept*b.warmth(s)/mu))) // bounds work
+		own := b.perSecond(&s.sent, sendTau)
+		fresh := math.Exp((s.heard - b.now) / keyTau) // an old report tells the mean, hot keys come on top
+		s.load, s.hot = fresh*max(0, s.qps-own-s.hot)+(1-fresh)*mean, 0
+		if mine += own; b.usable(s, nil) {
+			total, room = total+own+s.load, room+float64(s.n)*mu
+		}
+	}
+	if b.portion = 1 / float64(b.cfg.Routers); mean > 0 {
+		b.portion = max(mine/max(total, mine, 1e-3), 0.5*b.portion)
+	}
+	b.scale = 0.9 * room / max(total, 1e-3)
+	for _, s := range b.order {
+		s.load *= b.scale
+	}
+}
+
+// keyMem is the memory of key rates: a hundred arrivals, so that a router of many tells a hot key at all.
+func (b *Balancer) keyMem() float64 {
+	return min(60000, max(keyTau, 1e5/max(1, b.perSecond(&b.arrivals, keyTau))))
+}
+
+// solve splits hot keys singly, hottest first by λ_i/μ_i. The tail stays at its homes: split by shares in
+// groups, keys moved with every solve, and the misses jammed the origin.
+func (b *Balancer) solve() {
+	b.solvedAt, b.dirty = b.now, false
+	b.model()
+	flows, mem := b.recount(), b.keyMem()
+	slices.SortStableFunc(flows, func(p, q *flow) int { return cmp.Compare(q.channels(), p.channels()) })
+	for i, k := range flows {
+		k.v = nil
+		c, lam := b.candidates(k), b.perSecond(&k.rate, mem)*k.work*b.scale
+		switch {
+		case len(c) == 0:
+		case i < 32 && k.rate.v >= hotSeen:
+			b.split(k, c, lam/b.portion*(1-1/k.rate.v)) // the arrival that brought it up is no fair sample
+		default:
+			c[0].load += lam
+		}
+	}
+}
+
+// pick draws a server by the solved probabilities; a cold key's is its first candidate.
+func (b *Balancer) pick(r *request) *server {
+	if b.now >= r.until-1 || r.class.Late == 0 && b.now >= r.aim {
+		return nil // nothing left to earn
+	}
+	var drawn, any *server
+	if c := b.candidates(r.key); len(c) > 0 {
+		drawn = c[0]
+	}
+	for j, u := 0, b.rng.Float64(); j < len(r.key.v) && u >= 0; j++ {
+		drawn, u = r.key.v[j], u-r.key.p[j]
+	}
+	// The wait that is borne falls with the worth: the least worth is shed first, and early rather than late.
+	bear := (b.bear + 0.55*math.Sqrt(r.worth/max(b.maxWorth, 1e-9))) * (r.aim - b.now)
+	list := append([]*server{r.missed, drawn}, r.key.list...)
+	for sick := 0; sick < 2 && any == nil; sick++ {
+		for _, s := range list {
+			if s == nil || s != r.missed && r.tried(s) || !b.mayRun(r, s) ||
+				!b.usable(s, r) && (sick == 0 || s.State != Ready || !b.afford(s, r.work)) {
+				continue
+			}
+			wait := b.waitAt(s)
+			if s != drawn && s != r.missed && s != r.key.storeAt {
+				wait += b.olat.v // it takes a fetch there; spreading keys would jam a slow origin for good
+			}
+			if any = s; wait <= bear-0.7*s.lat.floor*math.Exp((s.lat.at-b.now)/10000)*r.work {
+				return s
+			}
+		}
+	}
+	if b.mayRefuse(r) || r.out > 0 {
+		return nil
+	}
+	return any
+}
+
+func (b *Balancer) arrive(r *request) {
+	b.arrivals.add(b.now, keyTau, 1)
+	b.spare, b.probes = min(20, b.spare+0.2), min(4, b.probes+0.15) // one more try in five, a probe in seven
+	// A few arrivals over the quota's part are chance: two deviations of a count are not.
+	q := b.quota[r.Tenant] * b.portion * keyTau / 1000
+	if u := b.used[r.Tenant]; u != nil && u.add(b.now, keyTau, 1) > q+2*math.Sqrt(q) {
+		r.worth *= b.cfg.OverWorth
+	}
+	k := r.key
+	k.work += 0.2 * (r.work - k.work) // over five requests
+	k.rate.add(b.now, b.keyMem(), 1)
+	// Where servers fetch by themselves, writes and keys not seen for a while go to the origin too.
+	if r.Write || k.fetch != nil || !b.cfg.Aside && b.now > k.stored+10000 {
+		b.hold(r)
+		b.pump()
+	} else {
+		b.try(r)
+	}
+}
+
+// try sends a request on, or ends it where no attempt is worth its work.
+func (b *Balancer) try(r *request) {
+	if s := b.pick(r); s != nil {
+		b.send(r, s)
+	} else {
+		b.end(r)
+	}
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	r.tries = append(r.tries, attempt{s: s, at: b.now, ran: true})
+	r.out++
+	s.out, s.sentAt, s.held = s.out+1, b.now, true
+	if s != b.origin {
+		s.budget.v -= (1 + r.work) / 2 // hints are rough: light ones turn out heavier
+		s.sent.add(b.now, sendTau, r.work)
+		e := max(s.lat.floor, b.x.mean/2, 5)*r.work + b.waitAt(s)
+		patience := max(1.2*e, min(3*e, r.aim-b.now-1.5*e)) // leaves time for another attempt
+		if b.now+patience < r.until {
+			b.host.Timer(patience, uint64(r.ID)<<8|uint64(len(r.tries)))
+		}
+	}
+	b.host.Send(r.ID, s.ID, 0)
+}
+
+// mayRun alone says whether a further attempt may run on s, mayRefuse whether a refusal is true. An attempt
+// may have run from its send on, until its outcome proves the contrary.
+func (b *Balancer) mayRun(r *request, s *server) bool {
+	for _, a := range r.tries {
+		if !a.ran || r.class.Effect == Repeatable {
+			continue
+		}
+		same := a.s.group(r.class.Scope) == s.group(r.class.Scope) && a.s != b.origin && s != b.origin
+		if r.class.Effect == Once || !same || b.now >= a.at+r.class.Window-1 {
+			return false
+		}
+	}
+	return len(r.tries) < b.cfg.MaxAttempts && (r.out == 0 || b.cfg.Copies)
+}
+
+func (b *Balancer) mayRefuse(r *request) bool {
+	return r.class.Effect == Repeatable || r.class.Effect == Keyed && r.class.Scope == "all" ||
+		!slices.ContainsFunc(r.tries, func(a attempt) bool { return a.ran })
+}
+
+// end gives the final answer, unless an attempt is still out that may give a better one.
+func (b *Balancer) end(r *request) {
+	if r.closed || r.out > 0 && b.now < r.until-1 {
+		return
+	}
+	if b.mayRefuse(r) {
+		b.host.Refuse(r.ID, 0)
+	} else {
+		b.host.Fail(r.ID)
+	}
+	b.close(r)
+}
+
+// close forgets a request that has its final answer, but for attempts still out.
+func (b *Balancer) close(r *request) {
+	r.closed = true
+	for i, a := range r.tries {
+		if !a.over && b.cfg.Cancel {
+			b.host.Cancel(r.ID, i)
+		}
+	}
+	if r.key.fetch == r {
+		r.key.fetch = nil
+	}
+	if r.out == 0 {
+		delete(b.reqs, r.ID)
+	}
+}
+
+func (b *Balancer) ended(r *request, a *attempt, o Outcome) {
+	asked, lost := r.asks, o.Status == Failed && o.Note == 2 && !b.cfg.Aside // lost: the origin's failure
+	if r.asks = false; o.Status.tells() && !lost && !(asked && o.Status == TimedOut) {
+		b.observe(a.s, o.Status, a.at)
+	}
+	if timeout := o.Status == TimedOut && !asked; a.s != b.origin && (timeout || o.Status == QueueFull) {
+		b.jam.see(b.now, b.jam.floor+r.class.Aim, 0.1)
+		if took := o.Latency / r.work; timeout && took > a.s.lat.v { // a jam, though some are answered
+			a.s.lat.see(b.now, took, min(0.5, 0.2*r.work))
+		}
+	}
+	if a.s == b.origin || asked && o.Note != 1 { // 1: it was there after all
+		b.fetched(r, o.Status, o.Latency)
+	}
+	if lost {
+		r.key.stored = 0 // the next request of the key takes a place too
+	}
+	if a.s != b.origin && o.Status == OK {
+		if o.Note != 2 { // what waited for a fetch says nothing of the server
+			// Fixed, idle servers refused and choked ones were late: one late in twenty holds it level.
+			if b.bear = min(0.25, b.bear+0.0005); b.now > r.aim {
+				b.bear = max(0, b.bear-0.01)
+			}
+			b.x.see(o.Latency)
+			b.jam.see(b.now, o.Latency/r.work, 0.1)
+			a.s.lat.see(b.now, o.Latency/r.work, min(0.5, 0.2*r.work))
+		}
+		r.key.stored, r.key.storeAt = b.now, a.s
+	}
+	switch {
+	case r.closed || o.Final:
+		b.close(r)
+	case b.now >= r.until-1 || a.s == b.origin || lost:
+		b.end(r)
+	case o.Status == Miss && b.cfg.Aside:
+		r.missed = a.s
+		b.hold(r)
+	case r.out > 0 || b.spare < 1: // retries must not become a storm
+		b.end(r)
+	default:
+		b.spare--
+		b.try(r)
+	}
+	b.pump()
+}
+
+// stalled acts on an attempt past its patience; a server that has answered others since is not suspected.
+func (b *Balancer) stalled(r *request, i int) {
+	if i >= len(r.tries) || r.tries[i].over || b.now >= r.aim {
+		return
+	}
+	a := r.tries[i]
+	if a.s.reply >= a.at {
+		b.host.Timer(b.now-a.at, uint64(r.ID)<<8|uint64(i+1))
+		return
+	}
+	if !r.asks {
+		r.key.rate.add(b.now, b.keyMem(), b.seldom())  // the key that meets a jam most likely makes it
+		b.jam.see(b.now, b.jam.floor+r.class.Aim, 0.1) // known a second before the time-out
+		a.s.strikes++
+		b.eject(a.s, true)
+	}
+	if b.spare < 1 || r.out > 1 {
+		return
+	}
+	if s := b.pick(r); b.cfg.Copies && s != nil {
+		b.spare--
+		b.send(r, s)
+	} else if !b.cfg.Copies && b.cfg.Cancel && r.class.Effect == Repeatable {
+		b.host.Cancel(r.ID, i)
+	}
+}
+
+func (b *Balancer) housekeep() {
+	b.host.Timer(100, tickToken)
+	if since := b.now - b.solvedAt; since >= 1000 || b.dirty && since >= 250 {
+		b.solve()
+	}
+	if b.now >= b.watchAt {
+		b.watchAt = b.now + 5000
+		b.host.Watch()
+	}
+	// Probes are paid for by own requests: a bound on the age of reports cost many probes a request at size.
+	for i, turn := 0, b.turn; i < len(b.order); i++ {
+		s := b.order[(turn+i)%len(b.order)]
+		if s.held && s.out == 0 && b.keep < b.cfg.ConnIdle && b.now > s.sentAt+b.keep {
+			s.held = false
+			b.host.Close(s.ID)
+		}
+		if b.cfg.ByProbe && b.cfg.Probes && b.probes >= 1 && b.now-s.probed >= 700 {
+			b.probes, b.turn, s.probed = b.probes-1, turn+i+1, b.now
+			b.host.Probe(s.ID)
+		}
+	}
+}
+
+// hold makes a request wait for a place at the origin or for a fetch of its key while it can be in time.
+func (b *Balancer) hold(r *request) {
+	by := r.until - 5
+	if r.class.Late == 0 {
+		by = min(by, r.aim-b.olat.v/2)
+	}
+	r.held, b.held = b.now, append(b.held, r)
+	b.host.Timer(max(1, by-b.now), uint64(r.ID)<<8)
+}
+
+// pump lets held requests go on, those worth most first: to where their key is stored, or to the origin.
+func (b *Balancer) pump() {
+	slices.SortStableFunc(b.held, func(p, q *request) int { return cmp.Compare(q.worth, p.worth) })
+	b.held = slices.DeleteFunc(b.held, func(r *request) bool {
+		k, o := r.key, b.origin
+		switch {
+		case r.closed:
+		case !r.Write && k.stored > r.held:
+			r.missed, r.held = k.storeAt, 0
+			b.try(r)
+		case b.cfg.Aside && (o == nil || o.State != Ready || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
+			b.end(r)
+		case !r.Write && k.fetch != nil || b.fetching() >= max(1, b.fetches):
+			return false
+		case b.fetches < 1 && b.asked.add(b.now, keyTau, 0) >= b.fetches*keyTau/max(b.olat.v, 100):
+			return false // a whole fetch at each of hundreds of routers jammed the origin
+		default:
+			if r.held = 0; !r.Write {
+				k.fetch = r
+			}
+			if r.asks = !b.cfg.Aside; r.asks {
+				b.try(r)
+			} else {
+				b.send(r, o)
+			}
+			if r.out > 0 {
+				b.asked.add(b.now, keyTau, 1)
+			}
+		}
+		return true
+	})
+}
+
+// fetched moves the bound on fetches: up while answers stay quick, down when they slow or fail.
+func (b *Balancer) fetched(r *request, st Status, lat float64) {
+	if r.key.fetch == r && st == OK {
+		r.key.stored, r.key.storeAt = b.now, r.missed
+	}
+	late := st == TimedOut && lat > 2*b.olat.floor // else it was sent too late: no sign of a slow origin
+	if st == OK || late {
+		b.olat.see(b.now, lat, 0.1) // over ten fetches
+	}
+	slow := min(2.5*b.olat.floor, 0.8*r.class.Aim) // a floor risen in overload excuses no useless answer
+	if (st == OK || late) && b.olat.v < slow {
+		b.fetches = min(64, b.fetches+min(1/max(1, b.fetches), max(0.25*b.fetches, 4/float64(b.cfg.Routers))))
+	} else if st.tells() && (st != TimedOut || late) && b.now-b.cutAt > 500 {
+		cut, least := 0.8, min(2, 8/float64(b.cfg.Routers))
+		if st == Failed { // stopped, or working off a queue that nobody waits for: it needs room
+			cut, least = 0.4, least/40
+		}
+		b.cutAt, b.fetches = b.now, max(min(least, b.fetches), cut*b.fetches)
+	}
+}
+
+// warmth is the share of its capacity that a server has at least.
+func (b *Balancer) warmth(s *server) float64 {
+	return min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(0, b.now-s.fresh)/max(b.cfg.Cold, 1))
+}
+
+// afford says whether a cold server's send budget has room: this router's equal part.
+func (b *Balancer) afford(s *server, work float64) bool {
+	if b.now >= s.fresh+1.5*b.cfg.Cold { // news of the start may have been late
+		return true
+	}
+	c := b.typical(s, 10) // a report made amid cheap misses overstates what the server can do
+	fill := 0.4 * b.cfg.FallMult * c * b.warmth(s) / float64(b.cfg.Routers) / 1000
+	most := max(1, fill*b.cfg.FallFor/6)
+	s.budget.v = min(most, s.budget.v+fill*(b.now-s.budget.at))
+	s.budget.at = b.now
+	return s.budget.v >= min((1+work)/2, most)
+}
--- /dev/null
+++ b/decide/rules_test.go
@@ -0,0 +1,757 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// ---- The four rules ----
+
+// TestEveryOutcomeAndEffect drives one request of each effect through each outcome and checks what may follow.
+func TestEveryOutcomeAndEffect(t *testing.T) {
+	all := []Status{Failed, QueueFull, TimedOut, ConnectError, Reset, Canceled, Ignored}
+	for _, class := range []string{"read", "keyed", "zoned", "once"} {
+		for _, st := range all {
+			t.Run(fmt.Sprint(class, "/", st), func(t *testing.T) {
+				b, h := start(t, testConfig(), fleet(6))
+				ask(b, 100010, 1, class, 9)
+				first := h.last()
+				b.Outcome(100050, Outcome{ID: 1, Server: first.server, Status: st, Latency: 40, Load: NoLoad})
+				again := len(h.sends) > 1
+				switch {
+				case class == "once" && !st.NeverRan():
+					if again || h.refused[1] > 0 || h.failed[1] != 1 {
+						t.Errorf("may have run: sends %v, refused %d, failed %d", h.sends, h.refused[1], h.failed[1])
+					}
+				case class == "zoned" && !st.NeverRan():
+					if h.refused[1] > 0 {
+						t.Error("a refusal that is not true")
+					}
+					if again && b.servers[h.last().server].Zone != b.servers[first.server].Zone {
+						t.Error("sent again outside the group")
+					}
+				default:
+					if !again {
+						t.Error("no further attempt though one is allowed")
+					}
+				}
+				if again && h.last().server == first.server {
+					t.Error("sent again to the server that just failed")
+				}
+			})
+		}
+	}
+}
+
+func TestKeyedIsNotSentAfterItsWindow(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[2].Window = 100
+	b, h := start(t, cfg, fleet(6))
+	ask(b, 100010, 1, "keyed", 9)
+	b.Outcome(100110, Outcome{ID: 1, Server: h.last().server, Status: Failed, Latency: 100, Load: NoLoad})
+	if len(h.sends) != 1 || h.refused[1] != 1 {
+		t.Errorf("sends %v, refused %d: want one send and a refusal", h.sends, h.refused[1])
+	}
+}
+
+func TestNeverTwoAtOnceWhereNotAllowed(t *testing.T) {
+	cfg := testConfig()
+	cfg.Copies = false
+	b, h := start(t, cfg, fleet(6))
+	ask(b, 100010, 1, "read", 9)
+	for _, tm := range h.timers {
+		b.Timer(100010+tm.after, tm.token)
+	}
+	if len(h.sends) != 1 {
+		t.Errorf("sends %v while the first is out", h.sends)
+	}
+	if len(h.cancels) != 1 {
+		t.Fatalf("cancels %v: want the silent attempt called off", h.cancels)
+	}
+	b.Outcome(100200, Outcome{ID: 1, Server: h.sends[0].server, Status: Canceled, Latency: 190, Load: NoLoad})
+	if len(h.sends) != 2 {
+		t.Error("no second attempt after the cancel")
+	}
+}
+
+func TestLateDuplicateAndUnknownIDs(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	ask(b, 100010, 1, "read", 9)
+	s := h.last().server
+	ok := Outcome{ID: 1, Server: s, Status: OK, Latency: 40, Final: true, Note: 1, Load: NoLoad}
+	b.Outcome(100050, ok)
+	b.Outcome(100051, ok)
+	b.Outcome(100052, Outcome{ID: 77, Attempt: 3, Server: 5, Status: Failed, Load: NoLoad})
+	b.Outcome(100053, Outcome{ID: 1, Attempt: -1, Server: s, Status: Failed, Load: NoLoad})
+	b.Gone(100054, 1)
+	b.Gone(100055, 78)
+	b.Started(100056, 79)
+	b.Timer(100057, 80<<8|1)
+	b.Probed(100058, 81, OK, NoLoad)
+	if len(h.sends) != 1 || h.answers(1) != 0 || b.servers[s].out != 0 || len(b.reqs) != 0 {
+		t.Errorf("sends %v, answers %d, out %d, held %d", h.sends, h.answers(1), b.servers[s].out, len(b.reqs))
+	}
+}
+
+func TestNothingNewToDrainingOrGone(t *testing.T) {
+	es := fleet(4)
+	b, h := start(t, testConfig(), es)
+	es[0].State, es[1].State = Draining, Gone
+	b.Servers(100005, Changes, es[:2])
+	for i := range uint32(300) {
+		now := 100010 + float64(i)
+		ask(b, now, i+1, "read", uint64(i))
+		b.Outcome(now, Outcome{ID: i + 1, Server: h.last().server, Status: OK, Latency: 1, Final: true, Load: NoLoad})
+	}
+	for _, s := range h.sends {
+		if s.server == es[0].ID || s.server == es[1].ID {
+			t.Fatalf("request %d sent to a server that drains or is gone", s.id)
+		}
+	}
+	if len(h.sends) != 300 {
+		t.Errorf("%d of 300 sent", len(h.sends))
+	}
+}
+
+func TestRequestWithoutCandidatesIsAnswered(t *testing.T) {
+	drain := fleet(2)
+	drain[0].State, drain[1].State = Draining, Draining
+	cfg := testConfig()
+	aside := cfg
+	aside.Aside, aside.OriginKind = true, "origin"
+	for name, c := range map[string]struct {
+		cfg Config
+		es  []Entry
+	}{"empty": {cfg, nil}, "draining": {cfg, drain}, "origin only": {aside, []Entry{{ID: 9, Kind: "origin"}}}} {
+		for _, class := range []string{"read", "once", "unknown"} {
+			b, h := start(t, c.cfg, c.es)
+			ask(b, 100010, 1, class, 5)
+			if h.answers(1) != 1 || len(h.sends) != 0 {
+				t.Errorf("%s, %s: %d answers, sends %v", name, class, h.answers(1), h.sends)
+			}
+		}
+	}
+}
+
+func TestColdServerIsSparedByEveryRouterAlike(t *testing.T) {
+	es := fleet(3)
+	cfg := testConfig()
+	es[0].Started = 99500
+	total, capacity := 0.0, 20.0
+	for r := range cfg.Routers {
+		cfg.Me = r
+		b, h := start(t, cfg, es)
+		for _, e := range es {
+			b.servers[e.ID].cap.see(b.now, capacity, 1)
+		}
+		for i := range uint32(4000) { // 2 s at 2000 a second, enough to fell it many times over
+			now := 100010 + float64(i)/2
+			ask(b, now, i+1, "read", uint64(i))
+			if n := len(h.sends); n > 0 && h.sends[n-1].id == i+1 {
+				b.Outcome(now, Outcome{ID: i + 1, Server: h.last().server, Status: OK, Latency: 1, Final: true, Load: NoLoad})
+			}
+		}
+		for _, s := range h.sends {
+			if s.server == es[0].ID {
+				total++
+			}
+		}
+	}
+	warmth := cfg.ColdFrom + (1-cfg.ColdFrom)*500/cfg.Cold // at the begin of the window
+	if limit := cfg.FallMult * capacity * warmth * cfg.FallFor / 1000; total > limit || total < limit/8 {
+		t.Errorf("%v requests sent to a cold server in the window, its limit is %v", total, limit)
+	}
+}
+
+// TestEveryRequestIsAnsweredOnce plays a small hostile world against the module and counts the answers.
+func TestEveryRequestIsAnsweredOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		cfg := testConfig()
+		cfg.Copies, cfg.Cancel, cfg.Aside, cfg.OriginKind = seed%2 == 0, seed%3 != 0, seed%4 > 1, "origin"
+		es := append(fleet(5), Entry{ID: 77, Kind: "origin"})
+		b, h := start(t, cfg, es)
+		type leg struct {
+			due float64
+			o   Outcome
+		}
+		answered, tries, until := map[uint32]int{}, map[uint32]int{}, map[uint32]float64{}
+		h.onSend = func(id uint32) {
+			if answered[id]+h.answers(id) > 0 {
+				t.Fatalf("seed %d: request %d sent after its answer", seed, id)
+			}
+		}
+		var legs []leg
+		seen, timers := 0, []timer{}
+		next := uint32(0)
+		for now := 100000.0; now < 104000; now += 5 {
+			if now < 103000 {
+				for range rng.IntN(4) {
+					next++
+					class := cfg.Classes[rng.IntN(5)].Name
+					left := 50 + 500*rng.Float64()
+					until[next] = now + left
+					b.Request(now, Request{ID: next, Class: class, Key: uint64(rng.IntN(20)), HasKey: rng.IntN(9) > 0,
+						Left: left, Write: class == "once"})
+				}
+			}
+			rest := timers[:0]
+			for _, tm := range timers {
+				if tm.after <= now {
+					b.Timer(now, tm.token)
+				} else {
+					rest = append(rest, tm)
+				}
+			}
+			timers = rest
+			kept := legs[:0]
+			for _, l := range legs {
+				if l.due > now && until[l.o.ID] > now {
+					kept = append(kept, l)
+					continue
+				}
+				if l.due > now {
+					l.o.Status = TimedOut
+				}
+				if answered[l.o.ID]+h.answers(l.o.ID) > 0 {
+					l.o.Final = true
+				} else if l.o.Status == OK {
+					l.o.Final = true
+					answered[l.o.ID]++
+				}
+				b.Outcome(now, l.o)
+			}
+			legs = kept
+			for ; seen < len(h.sends); seen++ {
+				s := h.sends[seen]
+				st := []Status{OK, OK, Failed, QueueFull, TimedOut, ConnectError, Reset, Miss}[rng.IntN(8)]
+				legs = append(legs, leg{now + 300*rng.Float64(),
+					Outcome{ID: s.id, Attempt: tries[s.id], Server: s.server, Status: st, Latency: 20, Load: NoLoad}})
+				tries[s.id]++
+			}
+			for _, tm := range h.timers {
+				timers = append(timers, timer{now + tm.after, tm.token})
+			}
+			h.timers = nil
+		}
+		for id := uint32(1); id <= next; id++ {
+			if n := answered[id] + h.answers(id); n != 1 {
+				t.Fatalf("seed %d: request %d has %d answers", seed, id, n)
+			}
+		}
+		if len(b.reqs) != 0 || len(b.held) != 0 {
+			t.Errorf("seed %d: %d requests and %d held are not forgotten", seed, len(b.reqs), len(b.held))
+		}
+	}
+}
+
+// ---- Reports ----
+
+func TestAbsurdReportsLeaveTheModelFinite(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(4))
+	inf := math.Inf(1)
+	for i, l := range []Load{NoLoad, {}, {QPS: 5}, {Util: 5}, {QPS: inf, Util: 0.5}, {QPS: 5, Util: inf - inf},
+		{QPS: 1e8, Util: 1e-9}, {QPS: 1e-9, Util: 1e8}, {QPS: -3, Util: 0.5}} {
+		for j, e := range fleet(4) {
+			b.Probed(100010+float64(i), e.ID, OK, Load{l.QPS + float64(j), l.EPS, l.Util, l.Inflight, l.Latency})
+		}
+		for r := range uint32(40) {
+			id := uint32(i)*100 + r
+			ask(b, 100010+float64(i), id, "read", uint64(r%3))
+			b.Outcome(100010+float64(i), Outcome{ID: id, Server: h.last().server, Status: OK, Latency: 10, Final: true, Load: l})
+		}
+		b.solve()
+		for _, s := range b.order {
+			if s.n < 1 || s.n > 256 || s.load < 0 || s.load != s.load || s.load > 1e12 {
+				t.Errorf("report %v: n %d, load %v", l, s.n, s.load)
+			}
+		}
+		for _, k := range b.keyList {
+			for _, p := range k.p {
+				if p != p || p < 0 || p > 1+1e-9 {
+					t.Errorf("report %v: share %v", l, p)
+				}
+			}
+		}
+	}
+}
+
+// ---- Settings ----
+
+func TestNewNamesTheBadSetting(t *testing.T) {
+	for want, spoil := range map[string]func(*Config){
+		"Routers":             func(c *Config) { c.Routers = 0 },
+		"Me":                  func(c *Config) { c.Me = 5 },
+		"Classes":             func(c *Config) { c.Classes = nil },
+		"Classes[read].Aim":   func(c *Config) { c.Classes[0].Aim = 0 },
+		"Classes[keyed].Scop": func(c *Config) { c.Classes[2].Scope = "planet" },
+		"ColdFrom":            func(c *Config) { c.ColdFrom = 0 },
+		"FallMult":            func(c *Config) { c.FallMult = 0 },
+		"MaxAttempts":         func(c *Config) { c.MaxAttempts = 0 },
+		"OriginKind":          func(c *Config) { c.Aside = true },
+		"Tenants[x].Quota":    func(c *Config) { c.Tenants = []Tenant{{Name: "x", Quota: -1}} },
+	} {
+		cfg := testConfig()
+		spoil(&cfg)
+		if _, err := New(cfg, 1, newHost()); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("want an error that names %s, got %v", want, err)
+		}
+	}
+}
+
+// ---- Origin ----
+
+// Fetches sent too late timed out, and the bound on fetches fell although the origin answered quickly.
+func TestLateFetchIsNoSignOfASlowOrigin(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, _ := start(t, cfg, append(fleet(3), Entry{ID: 77, Kind: "origin"}))
+	was := b.fetches
+	for i := range 20 {
+		b.now += 1000
+		r := &request{class: &Class{Aim: 300}, key: &flow{}}
+		b.fetched(r, OK, 100)
+		b.fetched(r, TimedOut, 40)
+		if i == 0 {
+			was = b.fetches
+		}
+	}
+	if b.fetches < was {
+		t.Errorf("bound fell from %v to %v", was, b.fetches)
+	}
+	for range 12 {
+		b.now += 1000
+		b.fetched(&request{class: &Class{Aim: 300}, key: &flow{}}, TimedOut, 900)
+	}
+	if b.fetches > was/2 {
+		t.Errorf("bound %v though every fetch is slow", b.fetches)
+	}
+}
+
+// In an overload that lasted, the floor rose to what was normal by then, and writes came back 100 ms late all day.
+func TestRisenFloorDoesNotExcuseUselessFetches(t *testing.T) {
+	b, _ := start(t, testConfig(), fleet(2))
+	was := b.fetches
+	r := &request{class: &Class{Aim: 300}, key: &flow{}}
+	for range 200 {
+		b.now += 100
+		b.fetched(r, OK, 290)
+	}
+	if b.fetches > was/2 {
+		t.Errorf("bound %v: fetches of 290 ms for an aim of 300 were taken for quick", b.fetches)
+	}
+}
+
+func TestOwnMissesOfAKeyShareAFetch(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, h := start(t, cfg, append(fleet(3), Entry{ID: 77, Kind: "origin"}))
+	ask(b, 100010, 1, "read", 5)
+	home := h.last().server
+	ask(b, 100011, 2, "read", 5)
+	b.Outcome(100020, Outcome{ID: 1, Server: home, Status: Miss, Latency: 9, Note: 2, Load: NoLoad})
+	b.Outcome(100021, Outcome{ID: 2, Server: home, Status: Miss, Latency: 9, Note: 2, Load: NoLoad})
+	ask(b, 100022, 3, "read", 5)
+	if len(h.sends) != 3 || h.last() != (sent{1, 77}) {
+		t.Fatalf("sends %v, want two at the home and one fetch", h.sends)
+	}
+	b.Outcome(100060, Outcome{ID: 1, Attempt: 1, Server: 77, Status: OK, Latency: 40, Final: true, Load: NoLoad})
+	if len(h.sends) != 5 || h.sends[3].server != home || h.sends[4].server != home {
+		t.Errorf("sends %v, want the two that waited at the home", h.sends)
+	}
+}
+
+// Fetches of servers failed, every failure was tried elsewhere and fetched again, and the origin stayed down.
+func TestFailedFetchIsTheOriginsTrouble(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	for i := range uint32(40) { // 300 ms apart; the bound falls, and fetches come to pause
+		now, was := 100010+300*float64(i), len(h.sends)
+		ask(b, now, i+1, "read", uint64(i))
+		if len(h.sends) > was {
+			b.Outcome(now+20, Outcome{ID: i + 1, Server: h.last().server, Status: Failed, Latency: 20, Note: 2, Load: NoLoad})
+		}
+		if len(h.sends) > was+1 {
+			t.Fatalf("request %d was sent again", i+1)
+		}
+	}
+	if n := len(h.sends); n < 6 || n > 20 || b.fetches > 0.5 || ejected(b.order) > 0 {
+		t.Errorf("%d sends for 40 requests, bound %v, %d ejected", n, b.fetches, ejected(b.order))
+	}
+	n := len(h.sends)
+	for i := range uint32(40) {
+		ask(b, 120000, 100+i, "once", uint64(100+i))
+	}
+	if out := len(h.sends) - n; out != 1 {
+		t.Errorf("%d out at a bound of %v", out, b.fetches)
+	}
+	for i := range uint32(60) { // answers bring the bound back
+		if r := b.reqs[h.last().id]; r != nil && r.out > 0 {
+			b.Outcome(120020+20*float64(i), Outcome{ID: r.ID, Server: h.last().server, Latency: 20, Note: 2, Final: true, Load: NoLoad})
+		}
+	}
+	if b.fetches < 2 {
+		t.Errorf("bound %v after the origin came back", b.fetches)
+	}
+}
+
+// Keys whose fetches failed went on counting as stored: a stopped origin was asked 88 times a second without a place.
+func TestKeyWhoseFetchFailedTakesAPlace(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	ask(b, 100001, 1, "read", 5)
+	b.Outcome(100041, Outcome{ID: 1, Server: h.last().server, Latency: 40, Note: 2, Final: true, Load: NoLoad})
+	if ask(b, 101000, 2, "read", 5); b.reqs[2].asks {
+		t.Error("a key stored a second ago was taken for a miss")
+	}
+	b.Outcome(101200, Outcome{ID: 2, Server: h.last().server, Status: Failed, Latency: 200, Note: 2, Load: NoLoad})
+	if ask(b, 102000, 3, "read", 5); !b.reqs[3].asks {
+		t.Error("a key whose fetch failed was taken for stored")
+	}
+}
+
+// An overload raised the floor of servers that then idled: refused for it, no request could correct what was seen.
+func TestFloorSeenFades(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	for _, s := range b.order {
+		s.cap.see(b.now, 100, 1)
+		s.lat.see(b.now, 250, 1)
+	}
+	ask(b, 100001, 1, "read", 5)
+	ask(b, 112001, 2, "read", 6)
+	if h.refused[1] != 1 || h.refused[2] != 0 {
+		t.Errorf("refused %v: want the first only", h.refused)
+	}
+}
+
+// Without a report every wait was nil, and the first second of a day choked all servers for half a minute.
+func TestUnreportedServersAreNotFlooded(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, h := start(t, cfg, append(fleet(6), Entry{ID: 77, Kind: "origin"}))
+	b.x.see(100)
+	for i := range uint32(600) {
+		ask(b, 100001, i+1, "dear", uint64(i))
+	}
+	if n := len(h.sends) / 6; n < 3 || n > 12 {
+		t.Errorf("%d requests out at each server that has not reported yet", n)
+	}
+}
+
+// ---- List ----
+
+// Requests that waited for fetches timed out, healthy servers were ejected for it, and their keys became misses.
+func TestTimeOutWhileOthersAreAnsweredIsNoSign(t *testing.T) {
+	b, _ := start(t, testConfig(), fleet(6))
+	s := b.order[0]
+	for range 20 {
+		s.reply = b.now
+		b.observe(s, TimedOut, b.now-400)
+	}
+	if s.accept < 1 || s.ejected {
+		t.Errorf("accept %.2f, ejected %v: a server that answers others was blamed", s.accept, s.ejected)
+	}
+	for range 20 {
+		b.observe(s, TimedOut, b.now+1)
+	}
+	if !s.ejected {
+		t.Error("a silent server is still in use")
+	}
+}
+
+// Where servers fetch by themselves, the floor under latencies held a fetch, and idle servers refused cheap requests.
+func TestWaitForAFetchIsNotTheServersLatency(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	ask(b, 100001, 1, "read", 5)
+	s := b.servers[h.last().server]
+	was, x := s.lat, b.x
+	b.Outcome(100301, Outcome{ID: 1, Server: s.ID, Status: OK, Latency: 300, Note: 2, Final: true, Load: NoLoad})
+	if s.lat != was || b.x != x {
+		t.Errorf("latency %v, moments %v: changed by a fetch", s.lat, b.x)
+	}
+	ask(b, 100302, 2, "read", 5)
+	b.Outcome(100342, Outcome{ID: 2, Server: s.ID, Status: OK, Latency: 40, Note: 1, Final: true, Load: NoLoad})
+	if s.lat.v != 40 || b.x.mean != 40 {
+		t.Errorf("latency %v, mean %v after a hit of 40 ms", s.lat.v, b.x.mean)
+	}
+}
+
+func TestListIsAskedForAgainAfterARefusal(t *testing.T) {
+	cfg := testConfig()
+	cfg.AskList = true
+	b, h := start(t, cfg, fleet(3))
+	tickTo := func(from, to float64) {
+		for now := from; now <= to; now += 100 {
+			b.Timer(now, tickToken)
+		}
+	}
+	tickTo(100100, 100300)
+	if h.watches != 1 {
+		t.Fatalf("%d calls after the start, want 1", h.watches)
+	}
+	b.Servers(100350, Refused, nil)
+	tickTo(100400, 102000)
+	if h.watches != 2 {
+		t.Fatalf("%d calls after a refusal, want 2", h.watches)
+	}
+	if len(b.order) != 3 {
+		t.Error("a refusal lost the list")
+	}
+	b.Servers(102050, Changes, nil)
+	tickTo(102100, 120000)
+	if h.watches != 2 {
+		t.Errorf("%d calls while subscribed, want 2", h.watches)
+	}
+}
+
+func TestSilentServerIsEjectedAndTakenBackSlowly(t *testing.T) {
+	b, _ := start(t, testConfig(), fleet(6))
+	s := b.order[0]
+	for range maxStrike {
+		b.observe(s, TimedOut, b.now+1)
+	}
+	if !s.ejected || b.usable(s, read(b, b.flow(Request{Key: 1, HasKey: true}))) {
+		t.Fatal("three signs of silence did not take it out")
+	}
+	for _, o := range b.order[1:3] {
+		o.ejected = true
+	}
+	o := b.order[3]
+	for range 2 * maxStrike {
+		b.observe(o, TimedOut, b.now+1)
+	}
+	if o.ejected {
+		t.Error("silence of half the fleet was not taken for our own trouble")
+	}
+	b.now = s.trial + 1
+	if !b.usable(s, read(b, b.flow(Request{Key: 1, HasKey: true}))) {
+		t.Fatal("no trial after the pause")
+	}
+	for _, o := range b.order {
+		o.cap.see(b.now, 100, 1)
+	}
+	b.x.see(100)
+	b.observe(s, OK, b.now)
+	if b.model(); s.ejected || s.n > 6 || b.order[5].n != 10 {
+		t.Errorf("ejected %v, %d channels where others have %d: want it back with about half", s.ejected, s.n, b.order[5].n)
+	}
+	if b.observe(s, Failed, b.now); !s.ejected {
+		t.Error("one failure after the return did not take it out again")
+	}
+}
+
+// With a bound on the age of reports, a router of a large fleet sent several probes for each of its requests.
+func TestProbesAreAPartOfTheRequests(t *testing.T) {
+	cfg := testConfig()
+	cfg.ByProbe, cfg.Probes, cfg.Routers = true, true, 600
+	b, h := start(t, cfg, fleet(100))
+	n := uint32(0)
+	for now := 100000.0; now < 160000; now += 100 {
+		b.Timer(now, tickToken)
+		if int(now)%400 == 0 { // 2.5 requests a second
+			n++
+			ask(b, now, n, "read", uint64(n))
+			b.Outcome(now, Outcome{ID: n, Server: h.last().server, Status: OK, Latency: 1, Final: true, Load: NoLoad})
+		}
+	}
+	if most := 0.2 * float64(n); float64(len(h.probes)) > most || len(h.probes) < int(n)/10 {
+		t.Errorf("%d probes for %d requests, want 0.1 to 0.2 each", len(h.probes), n)
+	}
+	seen := map[uint32]bool{}
+	for _, id := range h.probes {
+		seen[id] = true
+	}
+	if len(seen) != len(h.probes) {
+		t.Errorf("%d probes went to %d servers: want them in turn", len(h.probes), len(seen))
+	}
+}
+
+// A whole fetch at each of hundreds of routers, from the start or as the least that a cut leaves, jammed the origin.
+func TestFetchesOfManyRoutersAddUpToAFewPlaces(t *testing.T) {
+	for _, routers := range []int{4, 300} {
+		cfg := testConfig()
+		cfg.Aside, cfg.OriginKind, cfg.Routers = true, "origin", routers
+		b, h := start(t, cfg, append(fleet(3), Entry{ID: 77, Kind: "origin"}))
+		r := &request{class: &Class{Aim: 300}, key: &flow{}}
+		b.fetched(r, OK, 30)
+		for range 60 {
+			b.now += 1000
+			b.fetched(r, TimedOut, 900)
+		}
+		if all := b.fetches * float64(routers); all > 10 {
+			t.Errorf("%d routers: a bound of %v in all though every fetch is late", routers, all)
+		}
+		b.fetches, b.olat = 0.1, level{v: 100, floor: 100}
+		n := len(h.sends)
+		for i := range uint32(100) { // in 10 s
+			b.now += 100
+			b.Request(b.now, Request{ID: i + 1, Class: "once", Key: uint64(i), HasKey: true, Write: true, Left: 600})
+			if r := b.reqs[h.last().id]; r != nil && r.out > 0 {
+				b.Outcome(b.now, Outcome{ID: r.ID, Server: 77, Status: OK, Latency: 100, Final: true, Load: NoLoad})
+				b.fetches = 0.1
+			}
+		}
+		if sent := len(h.sends) - n; routers == 300 && (sent < 8 || sent > 20) { // of a few, an answer lifts it over one
+			t.Errorf("%d routers: %d fetches in 10 s at a bound of 0.1 and 100 ms each, want about ten", routers, sent)
+		}
+	}
+}
+
+// Idle connections of hundreds of routers filled the tables of servers, and others' attempts failed to connect.
+func TestConnectErrorsShortenTheTimeThatConnectionsAreKept(t *testing.T) {
+	cfg := testConfig()
+	cfg.ConnIdle = 60000
+	b, h := start(t, cfg, fleet(6))
+	ask(b, 100010, 1, "read", 9)
+	first := h.last().server
+	b.Outcome(100050, Outcome{ID: 1, Server: first, Status: OK, Latency: 40, Final: true, Load: NoLoad})
+	b.Timer(105000, tickToken)
+	if len(h.closes) != 0 {
+		t.Fatalf("closed %v though no connect failed", h.closes)
+	}
+	for _, s := range b.order[:5] {
+		b.observe(s, ConnectError, b.now)
+	}
+	b.Timer(105100, tickToken)
+	b.Timer(105200, tickToken)
+	if len(h.closes) != 1 || h.closes[0] != first {
+		t.Errorf("closed %v, want once the server used last 5 s ago, %d", h.closes, first)
+	}
+	for range 1000 {
+		b.observe(b.order[0], OK, b.now)
+	}
+	if b.keep != cfg.ConnIdle {
+		t.Errorf("kept for %v after a thousand answers, want %v", b.keep, cfg.ConnIdle)
+	}
+}
+
+// A router that asks each of many servers once in ten seconds saw no queue anywhere while the whole fleet choked,
+// and shed nothing; one that asks each often goes by what it sees of each.
+func TestSeldomAskedServersAreTakenToBeAsJammedAsTheFleet(t *testing.T) {
+	wait := func(perSecond int) float64 {
+		b, h := start(t, testConfig(), fleet(40))
+		for i := range uint32(10 * uint32(perSecond)) {
+			now := 100010 + float64(i)*1000/float64(perSecond)
+			ask(b, now, i+1, "read", uint64(i))
+			if len(h.sends) == 0 || h.last().id != i+1 {
+				continue
+			}
+			took := 40.0
+			if i > 8*uint32(perSecond) {
+				took = 400
+			}
+			b.Outcome(now+took, Outcome{ID: i + 1, Server: h.last().server, Status: OK, Latency: took, Final: true, Load: NoLoad})
+		}
+		s := b.order[0]
+		s.out, s.lat = 0, level{v: 40, floor: 40, at: b.now}
+		s.cap.v = 100
+		return b.waitAt(s)
+	}
+	if few, many := wait(8), wait(400); few < 50 || many > 20 {
+		t.Errorf("wait %v where each server is seldom asked, %v where often: want a long and a short one", few, many)
+	}
+}
+
+// A few requests over a quota's part are chance where a router sees little: whole tenants were shed in turn.
+func TestChanceDoesNotPutATenantOverItsQuota(t *testing.T) {
+	cfg := testConfig()
+	cfg.Routers, cfg.OverWorth = 100, 0.05
+	cfg.Tenants = []Tenant{{Name: "x", Quota: 100}} // one a second here
+	for perSecond, want := range map[int]bool{1: false, 4: true} {
+		b, h := start(t, cfg, fleet(6))
+		over := 0
+		rng := rand.New(rand.NewPCG(3, 4))
+		for i := range uint32(40 * uint32(perSecond)) {
+			now := b.now + rng.ExpFloat64()*1000/float64(perSecond)
+			b.Request(now, Request{ID: i + 1, Class: "read", Tenant: "x", Key: uint64(i), HasKey: true, Left: 600})
+			if r := b.reqs[i+1]; r != nil && r.worth < 1 {
+				over++
+			}
+			b.Outcome(now, Outcome{ID: i + 1, Server: h.last().server, Status: OK, Latency: 1, Final: true, Load: NoLoad})
+		}
+		if share := float64(over) / float64(40*perSecond); want != (share > 0.5) || !want && share > 0.15 {
+			t.Errorf("%d a second for a quota of 1: %v of the requests count as over it", perSecond, share)
+		}
+	}
+}
+
+// A jammed home that still answered a few of its requests in time looked idle by those, and got all the others too.
+func TestTimeOutsRaiseTheWaitOfAServer(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	ask(b, 100010, 1, "read", 9)
+	s := b.servers[h.last().server]
+	s.qps = 40
+	b.Outcome(100050, Outcome{ID: 1, Server: s.ID, Status: OK, Latency: 40, Final: true, Note: 1, Load: NoLoad})
+	idle := b.waitAt(s)
+	for i := range uint32(5) {
+		id := i + 2
+		ask(b, 100060, id, "read", 9)
+		b.Outcome(100060+300, Outcome{ID: id, Server: s.ID, Status: TimedOut, Latency: 300, Load: NoLoad})
+	}
+	if jammed := b.waitAt(s); jammed < idle+10 {
+		t.Errorf("wait %v after five time-outs, %v before", jammed, idle)
+	}
+	was := s.lat.v
+	ask(b, 100400, 10, "read", 9)
+	b.Outcome(100405, Outcome{ID: 10, Server: s.ID, Status: TimedOut, Latency: 5, Load: NoLoad})
+	if s.lat.v < was {
+		t.Errorf("a time-out of 5 ms lowered the latency from %v to %v", was, s.lat.v)
+	}
+}
+
+// With nine in ten attempts timing out nothing was learnt of the fleet, and all was sent on to servers that no longer
+// answered: only answers and refusals counted.
+func TestTimeOutsOfTheFleetShedWhereServersAreSeldomAsked(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, h := start(t, cfg, append(fleet(60), Entry{ID: 77, Kind: "origin"}))
+	refused := 0
+	for i := range uint32(120) {
+		now := 100010 + 350*float64(i)
+		ask(b, now, i+1, "read", uint64(i))
+		switch sent := len(h.sends) > 0 && h.last().id == i+1; {
+		case !sent:
+			refused++
+		case i < 20:
+			b.Outcome(now+40, Outcome{ID: i + 1, Server: h.last().server, Status: OK, Latency: 40, Final: true, Note: 1, Load: NoLoad})
+		default:
+			b.Outcome(now+600, Outcome{ID: i + 1, Server: h.last().server, Status: TimedOut, Latency: 600, Load: NoLoad})
+		}
+	}
+	if refused < 20 {
+		t.Errorf("%d of 100 requests refused early while every attempt timed out", refused)
+	}
+}
+
+// A collapse was known by its time-outs only, more than a second late, by when the servers were choked.
+func TestStallsTellOfAJamBeforeTimeOutsDo(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, h := start(t, cfg, append(fleet(60), Entry{ID: 77, Kind: "origin"}))
+	ask(b, 100010, 1, "read", 1)
+	b.Outcome(100050, Outcome{ID: 1, Server: h.last().server, Status: OK, Latency: 40, Final: true, Note: 1, Load: NoLoad})
+	was := b.waitAt(b.order[0])
+	for i := range uint32(8) {
+		id, now := i+2, 101010+float64(300*i)
+		ask(b, now, id, "read", uint64(id))
+		b.servers[h.last().server].reply = 0
+		b.Timer(now+200, uint64(id)<<8|1)
+	}
+	if wait := b.waitAt(b.order[0]); wait < was+30 {
+		t.Errorf("wait %v after eight stalls, %v before", wait, was)
+	}
+}
+
+// With all servers refusing and ejected, a busy router tried them as a last resort for each request, and each refused.
+func TestLastResortIsTakenToBeAsJammedAsTheFleet(t *testing.T) {
+	b, _ := start(t, testConfig(), fleet(6))
+	s := b.order[0]
+	b.arrivals.add(b.now, keyTau, 2000)
+	b.jam = level{v: 400, floor: 40, at: b.now}
+	well := b.waitAt(s)
+	s.ejected = true
+	if sick := b.waitAt(s); sick < 300 || well > 100 {
+		t.Errorf("wait %v at an ejected server, %v at another of a busy router", sick, well)
+	}
+}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,334 @@
+package decide
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+)
+
+// The records that a Balancer keeps and their arithmetic. Nothing here decides.
+
+// tickToken is the token of the housekeeping timer; other tokens hold a request and an attempt.
+const tickToken = 1 << 63
+
+// Balancer decides for one router.
+type Balancer struct {
+	cfg        Config
+	host       Host
+	rng        *rand.Rand
+	now, began float64
+	classes    map[string]*Class
+	quota      map[string]float64
+	used       map[string]*rate // by tenant
+	maxWorth   float64
+	servers    map[uint32]*server
+	order      []*server // cache servers on the list, by id
+	origin     *server   // never a candidate
+	table      []*server // buckets of the memento-hash; nil = removed
+	epoch      int       // of the table
+	keys       map[uint64]*flow
+	keyList    []*flow
+	reqs       map[uint32]*request
+	held       []*request
+	arrivals   rate
+	hint       float64 // mean hint
+	x          moments // served latencies, ms
+	solvedAt   float64
+	scale      float64 // of rates to the utilisation that is solved for
+	dirty      bool    // something calls for a solve
+	spare      float64 // further attempts in hand
+	probes     float64 // and probes,
+	turn       int     // and whose turn it is to be probed
+	jam        level   // latency of a unit of work, over all servers
+	keep       float64 // how long idle connections are kept
+	bear       float64 // least share of the aim that is borne as wait
+	fetches    float64 // bound on outstanding fetches; under 1, they pause between two
+	cutAt      float64 // when it was last cut,
+	asked      rate    // fetches sent
+	olat       level   // latency of fetches
+	median     float64 // capacity for a unit of size, of the servers that reported one
+	sized      bool    // whether sizes are told
+	portion    float64 // own part of all traffic, as far as reports tell
+	watchAt    float64 // when to ask for the list again
+}
+
+// perSecond reads a rate, corrected for a memory that has not filled yet.
+func (b *Balancer) perSecond(r *rate, tau float64) float64 {
+	return r.add(b.now, tau, 0) * 1000 / tau / (1 - math.Exp((b.began-b.now-1)/tau))
+}
+
+// server is what a router knows of a server.
+type server struct {
+	Entry
+	listed       bool
+	out          int     // own attempts outstanding,
+	sentAt       float64 // when the last was sent,
+	held         bool    // and whether a connection may be open since
+	accept       float64 // share of attempts accepted, lately
+	strikes      int     // signs of silence since the last reply
+	reply        float64 // time of the last reply
+	ejected      bool
+	trial, pause float64 // ejected: when a trial is due, and the pause before it
+	probed       float64 // time of the last probe
+	fresh        float64 // start of the cold phase
+	budget       rate    // hard send budget while cold
+	sent         rate    // own work sent
+	last         Load
+	qps, heard   float64 // reported, a second, and when
+	cap          level   // capacity, requests a second; 0 = not reported
+	lat          level   // latency of a unit of work
+	n            int     // the model's channels,
+	mu, load     float64 // their rate, and the load set on the server so far,
+	hot          float64 // and what others are thought to send there of the keys solved singly
+}
+
+// group names those that drop repeats together with the server.
+func (s *server) group(scope string) string {
+	switch scope {
+	case "zone":
+		return s.Zone
+	case "cell":
+		return strconv.Itoa(s.Cell)
+	}
+	return ""
+}
+
+// flow is the traffic of a key.
+type flow struct {
+	id      uint64
+	rate    rate
+	work    float64   // mean work of a request
+	epoch   int       // of the hash table that list comes from
+	list    []*server // memento-hash list
+	v       []*server // solved servers
+	p       []float64 // and their shares
+	fetch   *request  // asks the origin for the key
+	stored  float64   // when a fetch last came back,
+	storeAt *server   // and where its answer was stored
+}
+
+// channels is λ_i/μ_i but for the memory of the rate, which is the same for all keys.
+func (k *flow) channels() float64 { return k.rate.v * k.work }
+
+type attempt struct {
+	s         *server
+	at        float64
+	over, ran bool // has its outcome; may have run
+}
+
+// request is a request of a client until its answer is given and its attempts are back.
+type request struct {
+	Request
+	class       *Class
+	key         *flow
+	until, aim  float64 // when the client leaves, and when the answer loses its worth
+	work, worth float64
+	tries       []attempt
+	out         int     // attempts outstanding
+	missed      *server // where the key was missing
+	held        float64 // since when it waits for the origin or for another's fetch; 0 = it doesn't
+	asks        bool    // its attempt is likely to ask the origin by way of the server
+	closed      bool    // has its final answer
+}
+
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.s == s })
+}
+
+// settle books the outcome of an attempt and returns it, or nil if it is not outstanding.
+func (r *request) settle(i int, st Status) *attempt {
+	if r == nil || i < 0 || i >= len(r.tries) || r.tries[i].over {
+		return nil
+	}
+	a := &r.tries[i]
+	a.over, a.ran = true, !st.NeverRan()
+	r.out--
+	a.s.out--
+	return a
+}
+
+// apply brings a list update into the records and returns the servers that started anew.
+func (b *Balancer) apply(kind ListKind, entries []Entry) (started []*server) {
+	for _, s := range b.servers {
+		s.listed = s.listed && kind == Changes
+	}
+	for _, e := range entries {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{accept: 1, reply: b.now, fresh: math.Inf(-1), probed: math.Inf(-1), heard: math.Inf(-1)}
+			b.servers[e.ID] = s
+		}
+		if e.Started > 0 && e.Started != s.Started {
+			started = append(started, s)
+		}
+		s.Entry, s.listed = e, e.State != Gone
+		if b.cfg.SizesVary {
+			s.Size = 0 // a load figure, which says nothing of the machine
+		}
+	}
+	b.order, b.origin = b.order[:0], nil
+	for id, s := range b.servers {
+		switch {
+		case b.cfg.Aside && s.Kind == b.cfg.OriginKind:
+			if s.listed && (b.origin == nil || id < b.origin.ID) {
+				b.origin = s
+			}
+		case s.listed:
+			b.order = append(b.order, s)
+		case s.out == 0:
+			delete(b.servers, id)
+		}
+	}
+	slices.SortFunc(b.order, func(p, q *server) int { return cmp.Compare(p.ID, q.ID) })
+	return started
+}
+
+// rate counts with exponential forgetting: its value over the memory is a rate.
+type rate struct{ v, at float64 }
+
+func (r *rate) add(now, tau, x float64) float64 {
+	if now > r.at {
+		r.v *= math.Exp((r.at - now) / tau)
+		r.at = now
+	}
+	r.v += x
+	return r.v
+}
+
+// level follows a noisy figure, with a floor that rises slowly.
+type level struct{ v, floor, at float64 }
+
+func (l *level) see(now, x, k float64) {
+	if l.v == 0 {
+		l.v, l.floor = x, x
+	}
+	if l.v += k * (x - l.v); l.v > l.floor {
+		l.floor += (l.v - l.floor) * min(now-l.at, 2000) / 60000
+	} else {
+		l.floor += 0.2 * (l.v - l.floor)
+	}
+	l.at = now
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// survey brings the median capacity for a unit of size up to date, and returns the mean rate of the servers that
+// reported one, 0 where none did. Where sizes are missing all count alike.
+func (b *Balancer) survey() (mean float64) {
+	b.median, b.sized = 0, !slices.ContainsFunc(b.order, func(s *server) bool { return !figure(s.Size) || s.Size == 0 })
+	xs, n := make([]float64, 0, len(b.order)), 0.0
+	for _, s := range b.order {
+		if s.qps > 0 {
+			mean, n = mean+s.qps, n+1
+		}
+		if s.cap.v > 0 {
+			xs = append(xs, s.cap.v/s.unit(b.sized))
+		}
+	}
+	if len(xs) > 0 {
+		slices.Sort(xs)
+		b.median = xs[len(xs)/2]
+	}
+	return mean / max(1, n)
+}
+
+// typical is the capacity that the median gives a server of the size of s; def where there is none.
+func (b *Balancer) typical(s *server, def float64) float64 {
+	if b.median == 0 {
+		return def
+	}
+	return b.median * s.unit(b.sized)
+}
+
+// unit is what a server's capacity is compared by.
+func (s *server) unit(sized bool) float64 {
+	if sized && s.Size > 0 {
+		return s.Size
+	}
+	return 1
+}
+
+// figure says whether a reported figure can be used.
+func figure(v float64) bool { return v >= 0 && v < 1e9 }
+
+// ejected counts the servers that are out of use.
+func ejected(servers []*server) (n int) {
+	for _, s := range servers {
+		if s.ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// flow finds the record of a request's key; without a key the request gets a place of its own.
+func (b *Balancer) flow(q Request) *flow {
+	if !q.HasKey {
+		return &flow{id: b.rng.Uint64(), work: 1}
+	}
+	k := b.keys[q.Key]
+	if k == nil {
+		k = &flow{id: q.Key, work: 1}
+		b.keys[q.Key], b.keyList = k, append(b.keyList, k)
+	}
+	return k
+}
+
+// recount brings all rates up to now, forgets keys that have faded, and returns the others in a list of its own.
+func (b *Balancer) recount() []*flow {
+	mem := b.keyMem()
+	b.keyList = slices.DeleteFunc(b.keyList, func(k *flow) bool {
+		faded := k.rate.add(b.now, mem, 0) < 0.02 && k.fetch == nil
+		if faded {
+			delete(b.keys, k.id)
+		}
+		return faded
+	})
+	return slices.Clone(b.keyList)
+}
+
+// workOf is a request's work by its hint, in units of the mean.
+func (b *Balancer) workOf(hint float64) float64 {
+	if hint <= 0 || !figure(hint) {
+		return 1
+	}
+	if b.hint == 0 {
+		b.hint = hint
+	}
+	b.hint += 0.01 * (hint - b.hint)
+	return min(50, max(0.05, hint/b.hint))
+}
+
+// moments are X̄ and X², moving with the last few hundred samples.
+type moments struct{ mean, square, n float64 }
+
+func (m *moments) see(x float64) {
+	m.n = min(m.n+1, 400)
+	m.mean += (x - m.mean) / m.n
+	m.square += (x*x - m.square) / m.n
+}
+
+// ratio is X²/X̄², bounded.
+func (m *moments) ratio() float64 { return min(20, max(1, m.square/max(m.mean*m.mean, 1e-9))) }
+
+// fetching counts the fetches out: at the origin, or of keys that servers are likely to fetch by themselves.
+func (b *Balancer) fetching() float64 {
+	if b.origin != nil {
+		return float64(b.origin.out)
+	}
+	n := 0
+	for _, r := range b.reqs {
+		if r.asks && !r.closed {
+			n++
+		}
+	}
+	return float64(n)
+}
