--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,78 @@
+// Package router is a router in front of cache servers on real sockets. It hosts one decide.Balancer and decides
+// nothing itself.
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"mossproxy.example/mossproxy/internal/settings"
+)
+
+// Config is what a router is told at its start.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB int64 `json:"memory_mb"`
+		Sockets  int   `json:"sockets"`
+	} `json:"limits"`
+	Known    list            `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	seed     uint64
+	settings settings.Settings
+}
+
+// fdReserve is what the process holds beside connections: standard streams, the listener, the poller, discovery.
+const fdReserve = 32
+
+// LoadConfig reads the configuration at path; getenv fills in what the file leaves out. An error is one line that
+// names the setting.
+func LoadConfig(path string, getenv func(string) string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	c := new(Config)
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	for _, v := range []struct {
+		at        *string
+		name, env string
+	}{{&c.Name, "name", "GW_NAME"}, {&c.Listen, "listen", "GW_LISTEN"}, {&c.Discovery, "discovery", "GW_DISCOVERY"}} {
+		if *v.at == "" {
+			*v.at = getenv(v.env)
+		}
+		if *v.at == "" {
+			return nil, fmt.Errorf("%s: missing, and %s is not set", v.name, v.env)
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is no host:port", name, addr)
+		}
+	}
+	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", c.Seed)
+	}
+	if c.Limits.MemoryMB < 16 {
+		return nil, fmt.Errorf("limits.memory_mb: %d is missing or under 16", c.Limits.MemoryMB)
+	}
+	if c.Limits.Sockets < 2*fdReserve {
+		return nil, fmt.Errorf("limits.sockets: %d is missing or under %d", c.Limits.Sockets, 2*fdReserve)
+	}
+	if len(c.Settings) == 0 {
+		return nil, fmt.Errorf("settings: missing")
+	}
+	if c.settings, err = settings.Parse(c.Settings); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/router/loop.go
@@ -0,0 +1,378 @@
+package router
+
+import (
+	"container/heap"
+	"context"
+	"log"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+)
+
+// clock is one monotonic clock in milliseconds on which the starts of servers lie too: it counts from 1970 but steps
+// with no one. So no real start is 0, which means long ago, or below it.
+type clock struct{ start time.Time }
+
+func (c clock) now() float64 {
+	return float64(c.start.UnixMicro())/1000 + float64(time.Since(c.start).Microseconds())/1000
+}
+
+// loop owns the Balancer, the requests and the timers: everything here runs on its one goroutine but post. It is the
+// Balancer's Host, and no method of it blocks.
+type loop struct {
+	clock
+	b          *decide.Balancer
+	up         *upstreams
+	disc       *discovery
+	copies     bool
+	originKind string
+	maxTry     int
+	events     chan func()
+	done       chan struct{} // closed when the loop has ended: events no longer count
+	ctx        context.Context
+	timers     timerHeap
+	later      []func() // what a Host method has caused: the Balancer must not be called from within its call
+	reqs       map[uint32]*request
+	lastID     uint32
+	targets    map[uint32]*target
+	ready      atomic.Bool // a list is held
+}
+
+// request is a request from its arrival until it is answered and its attempts are back.
+type request struct {
+	id    uint32
+	cmd   command
+	until float64
+	slot  *slot
+	over  bool // has its final answer, or its client has gone
+	tries []*attempt
+	out   int
+}
+
+// attempt is one attempt of a request.
+type attempt struct {
+	r      *request
+	n      int
+	server uint32
+	at     float64
+	over   bool // has its outcome; what comes later is nobody's
+	stop   context.CancelFunc
+	phase  atomic.Int32
+}
+
+// The phases of an attempt. It leaves phaseOpening once, either way.
+const (
+	phaseOpening = iota // nothing is written
+	phaseWriting        // may have run from here on
+	phaseOff            // and will never be written
+)
+
+// grace after a client's deadline within which the answer to a time-out at the deadline comes.
+const grace = 15
+
+func newLoop(cfg *Config, up *upstreams) (*loop, error) {
+	s := cfg.settings.Config
+	l := &loop{clock: clock{time.Now()}, up: up, copies: s.Copies, originKind: s.OriginKind, maxTry: s.MaxAttempts, events: make(chan func(), 1024),
+		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}}
+	var err error
+	l.b, err = decide.New(s, cfg.seed, l)
+	return l, err
+}
+
+// post hands an event to the loop.
+func (l *loop) post(event func()) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
+
+// run carries out events and timers until ctx ends.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.done)
+	l.ctx = ctx
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		if len(l.timers) > 0 {
+			alarm.Reset(time.Duration(max(0, l.timers[0].at-l.now()) * float64(time.Millisecond)))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.events:
+			event()
+		case <-alarm.C:
+		}
+		l.settle()
+		for len(l.timers) > 0 && l.timers[0].at <= l.now() {
+			heap.Pop(&l.timers).(timer).do()
+			l.settle()
+		}
+	}
+}
+
+// settle carries out what Host methods have caused.
+func (l *loop) settle() {
+	for len(l.later) > 0 {
+		do := l.later[0]
+		l.later = l.later[1:]
+		do()
+	}
+}
+
+// arrive takes a request of a client that was read at the given time.
+func (l *loop) arrive(cmd command, read float64, s *slot) {
+	for l.lastID++; l.reqs[l.lastID] != nil; l.lastID++ { // ids are reused after 2^32 requests
+	}
+	now := l.now()
+	left := max(0, cmd.wait-(now-read))
+	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s}
+	l.reqs[r.id], s.id = r, r.id
+	l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
+		if !r.over {
+			log.Printf("request %s: no answer by its deadline", r.cmd.id)
+			l.Fail(r.id)
+			l.b.Gone(l.now(), r.id)
+		}
+	})
+	l.b.Request(now, decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: keyID(cmd.key), HasKey: true,
+		Left: left, Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
+}
+
+// gone tells that the client of a request has left.
+func (l *loop) gone(id uint32, s *slot) {
+	r := l.reqs[id]
+	if r == nil || r.over || r.slot != s {
+		return
+	}
+	l.finish(r, nil)
+	l.b.Gone(l.now(), id)
+	for _, a := range r.tries { // where the Balancer cancels nothing, nobody waits all the same
+		a.cancel(l)
+	}
+}
+
+// finish ends a request: the only place where one is answered, so none is answered twice.
+func (l *loop) finish(r *request, answer []byte) {
+	if r.over {
+		return
+	}
+	r.over = true
+	r.slot.answer <- answer // of capacity 1, and this is the only send
+	l.forget(r)
+}
+
+// forget drops the record of a request that is over and has no attempt out.
+func (l *loop) forget(r *request) {
+	if r.over && r.out == 0 {
+		delete(l.reqs, r.id)
+	}
+}
+
+// outcome ends an attempt, once: what comes after that is a late result, which reaches neither client nor Balancer.
+func (l *loop) outcome(a *attempt, got reply) {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.stop()
+	r := a.r
+	r.out--
+	if got.status == decide.OK {
+		l.finish(r, served(&r.cmd, got.body))
+	}
+	l.forget(r)
+	now := l.now()
+	l.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Status: got.status, Latency: now - a.at,
+		Final: r.over, Note: got.note, Load: got.load})
+}
+
+// ends returns an attempt's outcome without a reply.
+func ends(st decide.Status) reply { return reply{status: st, load: decide.NoLoad} }
+
+// timeOut ends an attempt that is waited for no longer.
+func (l *loop) timeOut(a *attempt) {
+	if a.over {
+		return
+	}
+	st := decide.TimedOut
+	if a.phase.CompareAndSwap(phaseOpening, phaseOff) {
+		st = decide.ConnectError // the connection never came up, and now nothing will be written
+	}
+	l.outcome(a, ends(st))
+}
+
+// cancel gives an attempt up by closing its connection.
+func (a *attempt) cancel(l *loop) {
+	if a.over {
+		return
+	}
+	a.phase.CompareAndSwap(phaseOpening, phaseOff)
+	a.stop()
+	l.later = append(l.later, func() { l.outcome(a, ends(decide.Canceled)) })
+}
+
+// list takes a list of servers.
+func (l *loop) list(kind decide.ListKind, got list) {
+	entries := make([]decide.Entry, 0, len(got.Servers))
+	named := map[uint32]bool{}
+	for _, e := range got.Servers {
+		d, err := e.decided()
+		if err != nil {
+			log.Printf("discovery: entry passed over: %v", err)
+			continue
+		}
+		entries, named[d.ID] = append(entries, d), true
+		t := l.targets[d.ID]
+		switch {
+		case d.State == decide.Gone:
+			l.drop(d.ID)
+		case t == nil || t.addr != e.Addr:
+			l.drop(d.ID)
+			l.targets[d.ID] = l.up.add(e.Addr, e.Kind == l.originKind)
+			l.targets[d.ID].started = d.Started
+		case t.started != d.Started: // connections to the process before it are dead, perhaps without a word
+			t.started = d.Started
+			l.up.closeIdle(t)
+		}
+	}
+	if kind == decide.Full || kind == decide.Remembered {
+		for id := range l.targets {
+			if !named[id] {
+				l.drop(id)
+			}
+		}
+	}
+	l.b.Servers(l.now(), kind, entries)
+	if len(l.targets) > 0 {
+		l.ready.Store(true)
+	}
+}
+
+func (l *loop) drop(id uint32) {
+	if t := l.targets[id]; t != nil {
+		delete(l.targets, id)
+		l.up.remove(t)
+	}
+}
+
+// The methods of decide.Host.
+
+// Send starts an attempt. A time-out of 0, and any later than the client's, ends with the client's wait.
+func (l *loop) Send(id, server uint32, timeout float64) {
+	r := l.reqs[id]
+	if r == nil { // over, and nothing is out: the Balancer has no record of it either
+		return
+	}
+	now := l.now()
+	left := r.until - now
+	if timeout != 0 {
+		left = min(left, timeout)
+	}
+	a := &attempt{r: r, n: len(r.tries), server: server, at: now}
+	ctx, stop := context.WithCancel(l.ctx)
+	a.stop = stop
+	r.tries, r.out = append(r.tries, a), r.out+1
+	t := l.targets[server]
+	if r.over || t == nil || left <= 0 || a.n >= l.maxTry || !l.copies && r.out > 1 {
+		l.later = append(l.later, func() { l.outcome(a, ends(decide.Ignored)) })
+		return
+	}
+	l.after(left, func() { l.timeOut(a) })
+	go func() {
+		defer stop()
+		got := l.up.attempt(ctx, t, &r.cmd, left, func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) })
+		l.post(func() { l.outcome(a, got) })
+	}()
+}
+
+// Cancel gives an attempt up.
+func (l *loop) Cancel(id uint32, n int) {
+	if r := l.reqs[id]; r != nil && n >= 0 && n < len(r.tries) {
+		r.tries[n].cancel(l)
+	}
+}
+
+// Refuse answers that trying again is harmless.
+func (l *loop) Refuse(id uint32, wait float64) {
+	if r := l.reqs[id]; r != nil {
+		l.finish(r, refused(wait))
+	}
+}
+
+// Fail answers with no promise.
+func (l *loop) Fail(id uint32) {
+	if r := l.reqs[id]; r != nil {
+		l.finish(r, failed())
+	}
+}
+
+// probeTimeout is how long a probe is waited for, in milliseconds.
+const probeTimeout = 500
+
+// Probe asks a server for its load.
+func (l *loop) Probe(server uint32) {
+	t := l.targets[server]
+	if t == nil {
+		l.later = append(l.later, func() { l.b.Probed(l.now(), server, decide.ConnectError, decide.NoLoad) })
+		return
+	}
+	go func() {
+		ctx, stop := context.WithTimeout(l.ctx, probeTimeout*time.Millisecond)
+		defer stop()
+		st, load := l.up.probe(ctx, t)
+		l.post(func() { l.b.Probed(l.now(), server, st, load) })
+	}()
+}
+
+// Close closes the idle connections to a server.
+func (l *loop) Close(server uint32) {
+	if t := l.targets[server]; t != nil {
+		l.up.closeIdle(t)
+	}
+}
+
+// Timer calls the Balancer's Timer after that many milliseconds.
+func (l *loop) Timer(after float64, token uint64) {
+	l.after(after, func() { l.b.Timer(l.now(), token) })
+}
+
+// Watch asks discovery for changes from now on.
+func (l *loop) Watch() { l.disc.watch() }
+
+// Tell sends nothing: the module has nothing to tell other routers.
+func (l *loop) Tell([]byte) {}
+
+// Log writes a line of the module's.
+func (l *loop) Log(text string) { log.Print(text) }
+
+// timer is something to do at a time.
+type timer struct {
+	at float64
+	do func()
+}
+
+func (l *loop) after(ms float64, do func()) {
+	if !(ms > 0) {
+		ms = 0
+	}
+	heap.Push(&l.timers, timer{l.now() + min(ms, math.MaxInt32), do})
+}
+
+// timerHeap holds timers, the next one first.
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/router/meta.go
@@ -0,0 +1,281 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/settings"
+)
+
+// The memcache meta text protocol, as clients speak it to routers and routers to cache servers.
+
+const (
+	maxLine  = 4096     // of a command or an answer
+	maxKey   = 250      // memcache's own limit
+	maxValue = 64 << 10 // of the protocol
+)
+
+// errMalformed is the root of all errors about what a peer has sent.
+var errMalformed = errors.New("malformed")
+
+func malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", errMalformed, fmt.Sprintf(format, args...))
+}
+
+// command is a request of a client.
+type command struct {
+	verb  string // "mg", "ms", or another of one word
+	key   string
+	id    string // opaque, O
+	facts string // P, as it came
+	value []byte // ms
+
+	class, tenant    string
+	wait, hint, size float64 // ms, ms, bytes
+	retry            bool
+}
+
+// readLine returns a line without its end, valid until the next read. The reader's buffer bounds it.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return nil, malformed("line over %d bytes", r.Size())
+	}
+	if err != nil {
+		return nil, err
+	}
+	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+	for _, b := range line {
+		if b < ' ' || b > '~' { // also keeps what is passed on in HTTP headers free of line ends
+			return nil, malformed("byte %#x in a line", b)
+		}
+	}
+	return line, nil
+}
+
+// readValue reads a value of n bytes and the line end behind it.
+func readValue(r *bufio.Reader, length string) ([]byte, error) {
+	n, err := strconv.ParseUint(length, 10, 31)
+	if err != nil || n > maxValue {
+		return nil, malformed("value length %q", length)
+	}
+	v := make([]byte, n+2)
+	if _, err := io.ReadFull(r, v); err != nil {
+		return nil, err
+	}
+	if v[n] != '\r' || v[n+1] != '\n' {
+		return nil, malformed("value without its end")
+	}
+	return v[:n], nil
+}
+
+// readCommand reads one command with its value.
+func readCommand(r *bufio.Reader) (command, error) {
+	line, err := readLine(r)
+	if err != nil {
+		return command{}, err
+	}
+	parts := strings.Fields(string(line))
+	if len(parts) == 0 {
+		return command{}, malformed("empty command")
+	}
+	c := command{verb: parts[0]}
+	flags := parts[1:]
+	if c.verb != "mg" && c.verb != "ms" {
+		return c, nil
+	}
+	if len(flags) == 0 || len(flags[0]) > maxKey {
+		return c, malformed("%s without a key of up to %d bytes", c.verb, maxKey)
+	}
+	c.key, flags = flags[0], flags[1:]
+	if c.verb == "ms" {
+		if len(flags) == 0 {
+			return c, malformed("ms without a length")
+		}
+		if c.value, err = readValue(r, flags[0]); err != nil {
+			return c, err
+		}
+		flags = flags[1:]
+	}
+	for _, f := range flags {
+		switch f[0] {
+		case 'O':
+			c.id = f[1:]
+		case 'P':
+			c.facts = f[1:]
+		}
+	}
+	if c.id == "" {
+		return c, malformed("no id")
+	}
+	return c, c.readFacts()
+}
+
+// readFacts reads the list of names and values; unknown names are passed over.
+func (c *command) readFacts() error {
+	c.wait = -1
+	for f := range strings.SplitSeq(c.facts, ",") {
+		name, v, _ := strings.Cut(f, "=")
+		var at *float64
+		switch name {
+		case "c":
+			c.class = v
+		case "t":
+			c.tenant = v
+		case "r":
+			c.retry = v == "1"
+		case "d":
+			at = &c.wait
+		case "h":
+			at = &c.hint
+		case "size":
+			at = &c.size
+		}
+		if at == nil {
+			continue
+		}
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= 0) || n > math.MaxUint32 {
+			return malformed("%s=%q", name, v)
+		}
+		*at = n
+	}
+	c.hint /= 1000 // microseconds on sockets; the module counts in milliseconds throughout
+	if c.class == "" || c.wait < 0 {
+		return malformed("no class or no time")
+	}
+	return nil
+}
+
+// append writes the command as a cache server gets it: as it came, but for the time that the router will wait.
+func (c *command) append(b []byte, wait float64) []byte {
+	b = append(append(append(b, c.verb...), ' '), c.key...)
+	if c.verb == "ms" {
+		b = strconv.AppendInt(append(b, ' '), int64(len(c.value)), 10)
+	} else {
+		b = append(b, " v"...)
+	}
+	b = append(append(append(b, " O"...), c.id...), " P"...)
+	for i, f := range strings.Split(c.facts, ",") {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		if strings.HasPrefix(f, "d=") {
+			b = strconv.AppendInt(append(b, "d="...), int64(max(1, wait)), 10)
+		} else {
+			b = append(b, f...)
+		}
+	}
+	b = append(b, "\r\n"...)
+	if c.verb == "ms" {
+		b = append(append(b, c.value...), "\r\n"...)
+	}
+	return b
+}
+
+// reply is what came back for an attempt.
+type reply struct {
+	status decide.Status
+	body   []byte // OK: the value or the receipt
+	note   int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
+	load   decide.Load
+	last   bool // the connection carries no further request
+}
+
+// readReply reads a cache server's answer to a command. An error leaves the connection without use.
+func readReply(r *bufio.Reader, c *command) (reply, error) {
+	a := reply{load: decide.NoLoad}
+	line, err := readLine(r)
+	if err != nil {
+		return a, err
+	}
+	parts := strings.Fields(string(line))
+	if len(parts) < 2 {
+		return a, malformed("answer %q", line)
+	}
+	kind, flags := parts[0], parts[1:]
+	id, receipt, known := "", "", true
+	switch {
+	case kind == "VA" && c.verb == "mg":
+		if a.body, err = readValue(r, flags[0]); err != nil {
+			return a, err
+		}
+		a.status, flags = decide.OK, flags[1:]
+	case kind == "HD" && c.verb == "ms":
+		a.status = decide.OK
+	case kind == "EN":
+		a.status = decide.Miss
+	case kind == "SERVER_ERROR" && flags[0] == "busy":
+		a.status, id, flags = decide.QueueFull, c.id, flags[1:] // an error line carries no id
+	case kind == "SERVER_ERROR" && flags[0] == "failed":
+		a.status, id, flags = decide.Failed, c.id, flags[1:]
+	default:
+		known = false
+	}
+	if !known {
+		return a, malformed("answer %q", line)
+	}
+	for _, f := range flags {
+		switch f[0] {
+		case 'O':
+			id = f[1:]
+		case 'c':
+			receipt = f[1:]
+		case 'h':
+			a.note = map[string]int{"h1": 1, "h0": 2}[f]
+		case 'Z':
+			a.note = 3
+		case 'L':
+			a.load = readLoad(f[1:])
+		}
+	}
+	// An answer to another request, left over on the connection, must not reach this client.
+	if id != c.id {
+		return a, malformed("answer for id %q, want %q", id, c.id)
+	}
+	if kind == "HD" {
+		if receipt == "" {
+			return a, malformed("write without a receipt")
+		}
+		a.body = []byte(receipt)
+	}
+	return a, nil
+}
+
+// readLoad reads a load report; what can't be read is absent.
+func readLoad(text string) decide.Load {
+	l := decide.NoLoad
+	for f := range strings.SplitSeq(text, ",") {
+		name, v, _ := strings.Cut(strings.TrimSpace(f), "=")
+		if n, err := strconv.ParseFloat(v, 64); err == nil {
+			settings.SetLoad(&l, name, n)
+		}
+	}
+	return l
+}
+
+// The answers that a client gets.
+
+func served(c *command, body []byte) []byte {
+	if c.verb == "ms" {
+		return fmt.Appendf(nil, "HD O%s c%s\r\n", c.id, body)
+	}
+	b := fmt.Appendf(make([]byte, 0, len(body)+64), "VA %d O%s\r\n", len(body), c.id)
+	return append(append(b, body...), "\r\n"...)
+}
+
+func refused(wait float64) []byte {
+	if wait < 1 {
+		return []byte("SERVER_ERROR busy\r\n")
+	}
+	return fmt.Appendf(nil, "SERVER_ERROR busy %d\r\n", int64(wait))
+}
+
+func failed() []byte { return []byte("SERVER_ERROR failed\r\n") }
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,6 @@
-// Package wire translates between the simulator's text protocol and the decide package: one Balancer for each
-// router instance, sharing nothing. It decides nothing.
-package wire
+// Package settings reads what an instance is told at its start: the same object on the simulator's wire and in a real
+// router's configuration.
+package settings
 
 import (
 	"encoding/json"
@@ -9,8 +9,15 @@
 	"mossproxy.example/mossproxy/decide"
 )
 
-// settings mirrors the settings object that starts an instance; unknown keys are ignored.
-type settings struct {
+// Settings is the settings object in the terms of the decide package, with what only its host needs.
+type Settings struct {
+	Config         decide.Config
+	Columns        []string // of the load reports on the simulator's wire
+	ConnectTimeout float64  // a connection not established within these milliseconds has failed; 0 = not told
+}
+
+// object mirrors the settings object; unknown keys are ignored.
+type object struct {
 	Balancers  int `json:"balancers"`
 	MyNumber   int `json:"myNumber"`
 	Zone       string
@@ -47,6 +54,7 @@
 		Cancel, MayProbe, Peers, RetryAfter, SecondCopies bool
 		MaxAttempts                                       int
 		MaxRetryAfter, CPUUsPerS, ConnIdle                float64
+		ConnectTimeout                                    float64
 	}
 	Rules struct {
 		Cold, ColdFrom, OverloadFactor, OverloadFor, MustAskIn float64
@@ -55,11 +63,11 @@
 
 var effects = map[string]decide.Effect{"repeatable": decide.Repeatable, "by_key": decide.Keyed, "once": decide.Once}
 
-// parseSettings reads the settings of one instance and the columns of its load reports.
-func parseSettings(text string) (decide.Config, []string, error) {
-	var s settings
-	if err := json.Unmarshal([]byte(text), &s); err != nil {
-		return decide.Config{}, nil, fmt.Errorf("settings: %w", err)
+// Parse reads the settings of one instance.
+func Parse(text []byte) (Settings, error) {
+	var s object
+	if err := json.Unmarshal(text, &s); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	c := decide.Config{
 		Routers: s.Balancers, Me: s.MyNumber, Zone: s.Zone, OverWorth: s.OverShareWorth,
@@ -74,14 +82,14 @@
 	if c.Aside {
 		k := s.FamilyInfo.OriginKind
 		if k == nil || *k < 0 || *k >= len(s.Kinds) {
-			return c, nil, fmt.Errorf("settings: familyInfo.originKind names no entry of kinds")
+			return Settings{}, fmt.Errorf("settings: familyInfo.originKind names no entry of kinds")
 		}
 		c.OriginKind = s.Kinds[*k]
 	}
 	for _, k := range s.Categories {
 		e, ok := effects[k.Effect]
 		if !ok {
-			return c, nil, fmt.Errorf("settings: categories[%s].effect: unknown value %q", k.Name, k.Effect)
+			return Settings{}, fmt.Errorf("settings: categories[%s].effect: unknown value %q", k.Name, k.Effect)
 		}
 		c.Classes = append(c.Classes, decide.Class{Name: k.Name, Effect: e, Scope: k.KeyScope, Window: k.Window,
 			Aim: k.Target, Stretch: k.AimStretch, Deadline: k.HardLimit, Worth: k.Gain, Late: k.LateWorth, Stream: k.Stream})
@@ -89,5 +97,25 @@
 	for _, t := range s.Projects {
 		c.Tenants = append(c.Tenants, decide.Tenant{Name: t.Name, Quota: t.QuotaPerS})
 	}
-	return c, s.LoadInfo.Columns, nil
+	if !(s.Caps.ConnectTimeout >= 0) {
+		return Settings{}, fmt.Errorf("settings: caps.connectTimeout: impossible value %v", s.Caps.ConnectTimeout)
+	}
+	return Settings{Config: c, Columns: s.LoadInfo.Columns, ConnectTimeout: s.Caps.ConnectTimeout}, nil
+}
+
+// SetLoad puts one figure of a load report in its place. Sockets and the simulator's wire have a name each for the
+// same figure; other figures have no use and are passed over.
+func SetLoad(l *decide.Load, name string, v float64) {
+	switch name {
+	case "rps", "qps":
+		l.QPS = v
+	case "err_rps", "eps":
+		l.EPS = v
+	case "cpu", "util":
+		l.Util = v
+	case "active", "inflight":
+		l.Inflight = v
+	case "avg_ms", "latency_ms":
+		l.Latency = v
+	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,3 +1,5 @@
+// Package wire translates between the simulator's text protocol and the decide package: one Balancer for each
+// router instance, sharing nothing. It decides nothing.
 package wire
 
 import (
@@ -12,6 +14,7 @@
 	"strings"
 
 	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/settings"
 )
 
 // instance is one router: its Balancer and the actions it took in this batch.
@@ -228,18 +231,7 @@
 			f.fail("load report", w)
 			return l
 		}
-		switch columns[i] {
-		case "rps":
-			l.QPS = v
-		case "err_rps":
-			l.EPS = v
-		case "cpu":
-			l.Util = v
-		case "active":
-			l.Inflight = v
-		case "avg_ms":
-			l.Latency = v
-		}
+		settings.SetLoad(&l, columns[i], v)
 	}
 	return l
 }
@@ -365,12 +357,12 @@
 }
 
 func (s *Session) open(id string, seed uint64, info string) error {
-	cfg, columns, err := parseSettings(info)
+	set, err := settings.Parse([]byte(info))
 	if err != nil {
 		return err
 	}
-	in := &instance{id: id, out: s.out, columns: columns}
-	if in.b, err = decide.New(cfg, seed, in); err != nil {
+	in := &instance{id: id, out: s.out, columns: set.Columns}
+	if in.b, err = decide.New(set.Config, seed, in); err != nil {
 		return err
 	}
 	s.instances[id] = in
