--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -35,5 +36,9 @@
 	debug.SetMemoryLimit(cfg.Limits.MemoryMB << 20 * 6 / 10)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return router.Run(ctx, cfg)
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return router.Serve(ctx, cfg, ln)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log"
 	"net"
 	"sync"
@@ -16,8 +15,10 @@
 	stopWithin    = 3 * time.Second        // of then; no client waits that long
 )
 
-// Run is a router: it serves until ctx ends, then answers what it has taken and returns nil.
-func Run(ctx context.Context, cfg *Config) error {
+// Serve is a router: it serves the clients of ln, which it closes, until ctx ends. Then it answers what it has taken
+// and returns nil.
+func Serve(ctx context.Context, cfg *Config, ln net.Listener) error {
+	defer ln.Close()
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	sockets := cfg.Limits.Sockets - fdReserve
 	up := newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), sockets*2/5)
@@ -25,11 +26,6 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	defer ln.Close()
 	l.disc = newDiscovery(cfg.Discovery, cfg.settings.Config.AskList,
 		func(got list) {
 			l.post(func() {
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,677 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const testSettings = `{"balancers":1,"myNumber":0,"zone":"a","categories":[` +
+	`{"name":"read","effect":"repeatable","keyScope":"all","target":500,"hardLimit":2000,"gain":1},` +
+	`{"name":"put","effect":"by_key","keyScope":"all","window":2000,"target":500,"hardLimit":2000,"gain":1},` +
+	`{"name":"bill","effect":"once","keyScope":"all","target":500,"hardLimit":2000,"gain":2}],` +
+	`"projects":[{"name":"t","quotaPerS":1000}],"kinds":["box","origin"],"familyInfo":{"mode":"aside","originKind":1},` +
+	`"discovery":"push","weights":"nominal","loadInfo":{"columns":["rps","cpu"],"how":"answers"},` +
+	`"caps":{"cancel":true,"mayProbe":true,"maxAttempts":4,"connIdle":10000,"connectTimeout":250},` +
+	`"rules":{"cold":8000,"coldFrom":0.3,"overloadFactor":3,"overloadFor":2000}}`
+
+const wait = 10 * time.Second // for what must come; a test that passes does not wait for it
+
+func listenLocal(t testing.TB) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// fake is a server on a loopback socket. Each connection is handed to serve, which sees the lines and bodies sent.
+type fake struct {
+	addr  string
+	seen  chan string // first lines of the requests
+	conns atomic.Int32
+	ended chan struct{} // one for each connection that the other side has closed
+}
+
+// startFake answers each request with the text of answer: "" says nothing, "close" closes, and "{cut}" ends the
+// connection behind what stands before it.
+func startFake(t testing.TB, answer func(line string) string) *fake {
+	t.Helper()
+	ln := listenLocal(t)
+	f := &fake{addr: ln.Addr().String(), seen: make(chan string, 1000), ended: make(chan struct{}, 1000)}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	t.Cleanup(func() {
+		ln.Close()
+		mu.Lock()
+		for _, c := range open {
+			c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			f.conns.Add(1)
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			wg.Go(func() {
+				defer c.Close()
+				f.serve(c, answer)
+			})
+		}
+	})
+	return f
+}
+
+func (f *fake) serve(c net.Conn, answer func(string) string) {
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			f.ended <- struct{}{}
+			return
+		}
+		line = strings.TrimSpace(line)
+		for strings.HasSuffix(line, "HTTP/1.1") { // its headers, of which the id and the facts count
+			h, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if h = strings.TrimSpace(h); h == "" {
+				line = strings.Replace(line, "HTTP/1.1", "HTTP", 1)
+			} else if strings.HasPrefix(h, "X-") || strings.HasPrefix(h, "Content-Length") {
+				line = strings.Replace(line, "HTTP/1.1", h+" HTTP/1.1", 1)
+			}
+		}
+		var n int
+		if i := strings.Index(line, "Content-Length: "); i >= 0 {
+			fmt.Sscanf(line[i:], "Content-Length: %d", &n)
+		} else if strings.HasPrefix(line, "ms ") {
+			fmt.Sscanf(line, "ms %s %d", new(string), &n)
+			n += 2
+		}
+		body := make([]byte, n)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return
+		}
+		f.seen <- line + " " + strings.TrimSpace(string(body))
+		switch a := answer(line); a {
+		case "":
+		case "close":
+			return
+		default:
+			text := strings.TrimSuffix(strings.ReplaceAll(a, "{id}", idOf(line)), "{cut}")
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+			if strings.HasSuffix(a, "{cut}") || strings.Contains(a, "Connection: close") {
+				return
+			}
+		}
+	}
+}
+
+// idOf finds the request's id in either protocol.
+func idOf(line string) string {
+	for f := range strings.FieldsSeq(line) {
+		if f[0] == 'O' && len(f) > 1 {
+			return f[1:]
+		}
+	}
+	_, rest, _ := strings.Cut(line, "X-Correlation-Id: ")
+	id, _, _ := strings.Cut(rest, " ")
+	return id
+}
+
+func httpAnswer(status, body string, headers ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), strings.Join(append(headers, ""), "\r\n"), body)
+}
+
+func hit(string) string  { return "VA 5 O{id} h1 Lqps=3,util=0.1\r\nhello\r\n" }
+func miss(string) string { return "EN O{id} h0\r\n" }
+func originOK(line string) string {
+	if strings.HasPrefix(line, "PUT") {
+		return httpAnswer("200 OK", "5c0f")
+	}
+	return httpAnswer("200 OK", "fresh")
+}
+
+// next waits for one thing on a channel.
+func next[T any](t testing.TB, ch <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(wait):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// directory is a discovery service.
+type directory struct {
+	*httptest.Server
+	mu      sync.Mutex
+	lists   []list // the whole list first, then changes
+	changed chan struct{}
+	calls   chan string
+}
+
+func startDirectory(t testing.TB, first list) *directory {
+	t.Helper()
+	d := &directory{lists: []list{first}, changed: make(chan struct{}), calls: make(chan string, 1000)}
+	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.calls <- r.URL.RawQuery
+		after := r.URL.Query().Get("after")
+		for {
+			d.mu.Lock()
+			changed := d.changed
+			for i, l := range d.lists {
+				if after == "" && i == 0 || after != "" && fmt.Sprint(l.Version-1) == after {
+					d.mu.Unlock()
+					json.NewEncoder(w).Encode(l)
+					return
+				}
+			}
+			d.mu.Unlock()
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(func() { d.CloseClientConnections(); d.Close() })
+	return d
+}
+
+// change tells of a change.
+func (d *directory) change(entries ...entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := d.lists[len(d.lists)-1]
+	d.lists = append(d.lists, list{Version: last.Version + 1, Servers: entries})
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func box(id, addr string) entry {
+	return entry{ID: id, Addr: addr, Zone: "a", Kind: "box", State: "active", Weight: 1}
+}
+
+func originAt(addr string) entry {
+	e := box("s-00000063", addr)
+	e.Kind = "origin"
+	return e
+}
+
+func full(entries ...entry) list { return list{Version: 1, Full: true, Servers: entries} }
+
+// running is a router under test.
+type running struct {
+	addr string
+	stop context.CancelFunc
+	done chan error
+}
+
+func testConfig(t testing.TB, discovery string, known list) *Config {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": json.RawMessage(testSettings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := LoadConfig(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func start(t testing.TB, cfg *Config) *running {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	ln := listenLocal(t)
+	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.done <- Serve(ctx, cfg, ln)
+	}()
+	t.Cleanup(func() { stop(); <-ended })
+	return r
+}
+
+// serving starts a router over a list that discovery gives, and waits until it is ready.
+func serving(t testing.TB, entries ...entry) (*running, *directory) {
+	t.Helper()
+	d := startDirectory(t, full(entries...))
+	r := start(t, testConfig(t, d.Listener.Addr().String(), list{}))
+	next(t, d.calls, "call for the list")
+	next(t, d.calls, "watch")
+	c := dial(t, r.addr)
+	for c.ask("mn") != "MN" {
+	}
+	return r, d
+}
+
+// client is a client's connection.
+type client struct {
+	net.Conn
+	t testing.TB
+	r *bufio.Reader
+}
+
+func dial(t testing.TB, addr string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(wait))
+	return &client{c, t, bufio.NewReader(c)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// line returns the next answer, with its value behind it, or "EOF".
+func (c *client) line() string {
+	c.t.Helper()
+	l, err := c.r.ReadString('\n')
+	if err != nil {
+		if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() {
+			c.t.Fatal("no answer")
+		}
+		return "EOF"
+	}
+	l = strings.TrimSpace(l)
+	if strings.HasPrefix(l, "VA ") {
+		v, _ := c.r.ReadString('\n')
+		l += " " + strings.TrimSpace(v)
+	}
+	return l
+}
+
+func (c *client) ask(command string) string {
+	c.t.Helper()
+	c.send(command + "\r\n")
+	return c.line()
+}
+
+func read(id string, d int) string {
+	return fmt.Sprintf("mg 7f3a9c21e0b4d655 v O%s Pc=read,t=t,d=%d,h=52000,size=5", id, d)
+}
+
+func bill(id string, d int) string {
+	return fmt.Sprintf("ms 7f3a9c21e0b4d655 3 O%s Pc=bill,t=t,d=%d\r\nabc", id, d)
+}
+
+// nothingMore asserts that nothing more comes on a connection within a moment.
+func (c *client) nothingMore() {
+	c.t.Helper()
+	c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if b, err := c.r.ReadByte(); err == nil {
+		c.t.Errorf("a second answer, from %q on", b)
+	}
+}
+
+func TestHitIsServedAndPassedOnAsItCame(t *testing.T) {
+	s, o := startFake(t, hit), startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+	if got := c.ask("mg 7f3a9c21e0b4d655 v Oa1 Pc=read,t=t,zz=9,d=480,k=7,h=52000"); got != "VA 5 Oa1 hello" {
+		t.Errorf("got %q", got)
+	}
+	var d int
+	got := next(t, s.seen, "request")
+	if n, err := fmt.Sscanf(got, "mg 7f3a9c21e0b4d655 v Oa1 Pc=read,t=t,zz=9,d=%d,k=7,h=52000", &d); n != 1 || err != nil || d < 1 || d > 480 {
+		t.Errorf("the cache server got %q", got)
+	}
+	if len(o.seen) > 0 {
+		t.Error("a hit went to the origin too")
+	}
+}
+
+func TestMissIsFetchedFromTheOrigin(t *testing.T) {
+	s, o := startFake(t, miss), startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	if got := dial(t, r.addr).ask(read("a1", 480)); got != "VA 5 Oa1 fresh" {
+		t.Errorf("got %q", got)
+	}
+	got := next(t, o.seen, "fetch")
+	if !strings.HasPrefix(got, "GET /7f3a9c21e0b4d655 ") || !strings.Contains(got, "X-Facts: c=read,t=t,d=480,h=52000,size=5 ") {
+		t.Errorf("the origin got %q", got)
+	}
+}
+
+func TestWriteGoesToTheOriginOnce(t *testing.T) {
+	s, o := startFake(t, miss), startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	if got := dial(t, r.addr).ask(bill("a1", 480)); got != "HD Oa1 c5c0f" {
+		t.Errorf("got %q", got)
+	}
+	if got := next(t, o.seen, "write"); !strings.HasPrefix(got, "PUT /7f3a9c21e0b4d655 ") || !strings.HasSuffix(got, " abc") {
+		t.Errorf("the origin got %q", got)
+	}
+	if len(s.seen)+len(o.seen) > 0 {
+		t.Error("the write was sent twice")
+	}
+}
+
+// A write that may have run is failed, never refused or sent again; one that never ran is refused.
+func TestUnsafeWriteIsNeverRepeated(t *testing.T) {
+	for name, c := range map[string]struct{ answer, want string }{
+		"broken":      {"close", "SERVER_ERROR failed"},
+		"cut":         {"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{cut}", "SERVER_ERROR failed"},
+		"error":       {httpAnswer("500 Internal Server Error", ""), "SERVER_ERROR failed"},
+		"bare 503":    {httpAnswer("503 Service Unavailable", ""), "SERVER_ERROR failed"},
+		"unprocessed": {httpAnswer("503 Service Unavailable", "", "X-Unprocessed: 1"), "SERVER_ERROR busy"},
+		"silent":      {"", "SERVER_ERROR failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, o := startFake(t, miss), startFake(t, func(string) string { return c.answer })
+			r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+			cl, began := dial(t, r.addr), time.Now()
+			if got := cl.ask(bill("a1", 300)); !strings.HasPrefix(got, c.want) {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+			if took := time.Since(began); took > 300*time.Millisecond+time.Second {
+				t.Errorf("answered after %v", took)
+			}
+			next(t, o.seen, "write")
+			cl.nothingMore()
+			if len(o.seen)+len(s.seen) > 0 {
+				t.Error("sent again")
+			}
+		})
+	}
+}
+
+// A cache server that says nothing: the client has one answer by its deadline, and the attempt is given up.
+func TestSilentServerIsGivenUp(t *testing.T) {
+	s, o := startFake(t, func(string) string { return "" }), startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	c, began := dial(t, r.addr), time.Now()
+	if got := c.ask(read("a1", 200)); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+		t.Errorf("got %q", got)
+	}
+	if took := time.Since(began); took > 1200*time.Millisecond {
+		t.Errorf("answered after %v", took)
+	}
+	next(t, s.ended, "end of the attempt's connection")
+	c.nothingMore()
+}
+
+func TestClientThatLeavesEndsItsAttempt(t *testing.T) {
+	s, o := startFake(t, func(string) string { return "" }), startFake(t, originOK)
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+	c.send(read("a1", 60000) + "\r\n")
+	next(t, s.seen, "request")
+	c.Close()
+	next(t, s.ended, "end of the attempt's connection")
+}
+
+func TestAnswersComeInTheOrderOfCommands(t *testing.T) {
+	first := make(chan struct{})
+	s := startFake(t, func(line string) string {
+		if strings.Contains(line, "Oa1 ") {
+			<-first
+		}
+		return hit(line)
+	})
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(startFake(t, originOK).addr))
+	c := dial(t, r.addr)
+	c.send(read("a1", 5000) + "\r\n" + read("a2", 5000) + "\r\nversion\r\n")
+	next(t, s.seen, "request")
+	next(t, s.seen, "request behind it, on a connection of its own")
+	close(first)
+	for _, want := range []string{"VA 5 Oa1 hello", "VA 5 Oa2 hello", "ERROR"} {
+		if got := c.line(); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	if s.conns.Load() != 2 {
+		t.Errorf("%d connections carried two requests at once, want 2", s.conns.Load())
+	}
+}
+
+func TestDrainingServerGetsNothingNew(t *testing.T) {
+	for _, state := range []string{"leaving", "left"} {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			s, o := startFake(t, hit), startFake(t, originOK)
+			e := box("s-0000000b", s.addr)
+			r, d := serving(t, e, originAt(o.addr))
+			c := dial(t, r.addr)
+			c.ask(read("a1", 2000))
+			next(t, s.seen, "request")
+			e.State = state
+			d.change(e)
+			next(t, d.calls, "watch after the change")
+			for i := range 5 {
+				c.ask(read(fmt.Sprint("b", i), 2000))
+			}
+			if len(s.seen) > 0 {
+				t.Error("sent to a server that drains")
+			}
+		})
+	}
+}
+
+// A router that starts anew while discovery is down serves from the list that it last had.
+func TestRestartServesFromTheKnownList(t *testing.T) {
+	s, o := startFake(t, hit), startFake(t, originOK)
+	ln := listenLocal(t)
+	ln.Close() // refuses
+	for range 2 {
+		r := start(t, testConfig(t, ln.Addr().String(), full(box("s-0000000b", s.addr), originAt(o.addr))))
+		c := dial(t, r.addr)
+		for c.ask("mn") != "MN" {
+		}
+		if got := c.ask(read("a1", 2000)); got != "VA 5 Oa1 hello" {
+			t.Errorf("got %q", got)
+		}
+		r.stop()
+		if err := next(t, r.done, "end"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestNotReadyWithoutAList(t *testing.T) {
+	ln := listenLocal(t)
+	ln.Close()
+	r := start(t, testConfig(t, ln.Addr().String(), list{}))
+	if got := dial(t, r.addr).ask("mn"); got != "SERVER_ERROR not ready" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// At a planned restart new connections come for a while, and what was taken is answered before the end.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan struct{})
+	s := startFake(t, func(line string) string {
+		if strings.Contains(line, "Oslow") {
+			<-release
+		}
+		return hit(line)
+	})
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(startFake(t, originOK).addr))
+	idle, busy := dial(t, r.addr), dial(t, r.addr)
+	busy.send(read("slow", 8000) + "\r\n")
+	next(t, s.seen, "request")
+	r.stop()
+	late := dial(t, r.addr)
+	if got := late.ask(read("late", 2000)); got != "VA 5 Olate hello" {
+		t.Errorf("a client that came late got %q", got)
+	}
+	if got := idle.line(); got != "EOF" {
+		t.Errorf("an idle connection got %q", got)
+	}
+	close(release)
+	if got := busy.line(); got != "VA 5 Oslow hello" {
+		t.Errorf("got %q", got)
+	}
+	if got := busy.line(); got != "EOF" {
+		t.Errorf("then %q", got)
+	}
+	if err := next(t, r.done, "end"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestMalformedClientInput(t *testing.T) {
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	for _, in := range []string{
+		"\r\n", "mg\r\n", "mg k v\r\n", "mg k v Oa1 Pc=read,d=x\r\n", "mg k v Oa1 Pc=read,d=-1\r\n", "mg k v Oa1 Pc=read,d=NaN\r\n",
+		"mg k v Oa1\r\n", "ms k\r\n", "ms k -3 Oa1 Pc=put,d=9\r\n", "ms k 70000 Oa1 Pc=put,d=9\r\n", "ms k 2 Oa1 Pc=put,d=9\r\nabcdef\r\n",
+		"mg " + strings.Repeat("k", 300) + " v Oa1 Pc=read,d=9\r\n", "mg k\x00 v Oa1 Pc=read,d=9\r\n", strings.Repeat("x", 5000),
+	} {
+		c := dial(t, r.addr)
+		c.send(read("ok", 2000) + "\r\n" + in)
+		if got := c.line(); got != "VA 5 Ook hello" {
+			t.Errorf("before %.20q: got %q", in, got)
+		}
+		if got := c.line(); !strings.HasPrefix(got, "CLIENT_ERROR ") {
+			t.Errorf("%.20q: got %q", in, got)
+		}
+		if got := c.line(); got != "EOF" {
+			t.Errorf("%.20q: then %q", in, got)
+		}
+	}
+	if got := dial(t, r.addr).ask("mg k v Oa1 Pc=unheard,d=9"); got != "SERVER_ERROR failed" {
+		t.Errorf("unknown class: got %q", got)
+	}
+}
+
+// More clients than there are sockets for: idle connections make room, and all are served.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	for i := range 300 {
+		if got := dial(t, r.addr).ask(read(fmt.Sprint(i), 5000)); got != fmt.Sprintf("VA 5 O%d hello", i) {
+			t.Fatalf("client %d got %q", i, got)
+		}
+	}
+}
+
+func TestBadConfigurationIsNamed(t *testing.T) {
+	good := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+		"limits": map[string]any{"memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(testSettings)}
+	for name, c := range map[string]struct {
+		value any
+		want  string
+	}{
+		"name": {"", "name: missing"}, "listen": {"nowhere", "listen: "}, "discovery": {7, "discovery"},
+		"seed": {"xyz", "seed: "}, "limits": {map[string]any{"memory_mb": 192}, "limits.sockets: "},
+		"settings": {json.RawMessage(strings.Replace(testSettings, "once", "never", 1)), "categories[bill].effect"},
+		"known":    {"x", "known"},
+	} {
+		cfg := map[string]any{}
+		for k, v := range good {
+			cfg[k] = v
+		}
+		cfg[name] = c.value
+		text, _ := json.Marshal(cfg)
+		path := filepath.Join(t.TempDir(), "c.json")
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadConfig(path, func(string) string { return "" })
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v, want one line with %q", name, err, c.want)
+		}
+	}
+	if _, err := LoadConfig(filepath.Join(t.TempDir(), "none"), os.Getenv); err == nil || !strings.HasPrefix(err.Error(), "GW_CONFIG: ") {
+		t.Errorf("no file: got %v", err)
+	}
+}
+
+// Starts of servers lie on the router's clock, and no real start is 0 there.
+func TestStartsLieOnTheClock(t *testing.T) {
+	c := clock{time.Now()}
+	if d := c.now() - float64(time.Now().UnixMilli()); d < -1000 || d > 1000 {
+		t.Errorf("the clock is %v ms off Unix time", d)
+	}
+}
+
+func TestIdsMapAsOnTheSimulatorsWire(t *testing.T) {
+	if got := serverID("s-5be2a07c"); got != 0x5be2a07c {
+		t.Errorf("server %#x", got)
+	}
+	if got := keyID("7f3a9c21e0b4d655"); got != 0x7f3a9c21e0b4d655 {
+		t.Errorf("key %#x", got)
+	}
+	if serverID("cache-east") == serverID("cache-west") || keyID("a") == keyID("b") {
+		t.Error("other forms clash")
+	}
+}
+
+func FuzzReadCommand(f *testing.F) {
+	f.Add([]byte(read("a1", 480) + "\r\n"))
+	f.Add([]byte(bill("a1", 480) + "\r\n"))
+	f.Add([]byte("ms k 99999999999999999999 O P\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		c, err := readCommand(bufio.NewReaderSize(bytes.NewReader(in), maxLine))
+		if err != nil || c.verb != "mg" && c.verb != "ms" {
+			return
+		}
+		again, err := readCommand(bufio.NewReaderSize(bytes.NewReader(c.append(nil, c.wait)), 2*maxLine))
+		if err != nil || again.key != c.key || again.id != c.id || !bytes.Equal(again.value, c.value) {
+			t.Errorf("%q came back as %+v, %v", in, again, err)
+		}
+	})
+}
+
+func FuzzReadReply(f *testing.F) {
+	for _, s := range []string{"VA 5 Oa1 h1 Lqps=1,util=x\r\nhello\r\n", "EN Oa1 h0 Z\r\n", "SERVER_ERROR busy\r\n", "HD Oa1 c7\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"} {
+		f.Add([]byte(s), true)
+		f.Add([]byte(s), false)
+	}
+	f.Fuzz(func(t *testing.T, in []byte, write bool) {
+		c := &command{verb: "mg", id: "a1"}
+		if write {
+			c.verb = "ms"
+		}
+		for _, parse := range []func(*bufio.Reader, *command) (reply, error){readReply, readOriginReply} {
+			if a, err := parse(bufio.NewReaderSize(bytes.NewReader(in), maxLine), c); err == nil && len(a.body) > maxValue {
+				t.Errorf("%d bytes of %q", len(a.body), in)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/router/upstream_test.go
@@ -0,0 +1,211 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+)
+
+func getCommand() *command {
+	return &command{verb: "mg", key: "7f3a9c21e0b4d655", id: "a1", facts: "c=read,t=t,d=480", class: "read", wait: 480}
+}
+
+func putCommand() *command {
+	return &command{verb: "ms", key: "7f3a9c21e0b4d655", id: "a1", facts: "c=put,t=t,d=480,k=7", class: "put", wait: 480, value: []byte("abc")}
+}
+
+func always() bool { return true }
+
+func testUpstreams(t *testing.T, idle time.Duration, limit int) *upstreams {
+	t.Helper()
+	u := newUpstreams(idle, 250*time.Millisecond, limit)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		u.sweep(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-ended })
+	return u
+}
+
+func idle(u *upstreams, t *target) []*upstreamConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(t.idle)
+}
+
+// Each row of the outcome table, for both protocols.
+func TestOutcomeTable(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	for name, c := range map[string]struct {
+		answer string
+		write  bool
+		origin bool
+		want   decide.Status
+		note   int
+		reused bool
+	}{
+		"value":               {answer: "VA 5 O{id} h1\r\nhello\r\n", want: decide.OK, note: 1, reused: true},
+		"value without flag":  {answer: "VA 0 O{id}\r\n\r\n", want: decide.OK, reused: true},
+		"receipt":             {answer: "HD O{id} c77\r\n", write: true, want: decide.OK, reused: true},
+		"miss":                {answer: "EN O{id}\r\n", want: decide.Miss, reused: true},
+		"miss, told":          {answer: "EN O{id} h0\r\n", want: decide.Miss, note: 2, reused: true},
+		"miss, fetch is out":  {answer: "EN O{id} h0 Z\r\n", want: decide.Miss, note: 3, reused: true},
+		"error":               {answer: "SERVER_ERROR failed\r\n", want: decide.Failed, reused: true},
+		"turned away":         {answer: "SERVER_ERROR busy Lqps=1,util=2\r\n", want: decide.QueueFull, reused: true},
+		"closed":              {answer: "close", want: decide.Reset},
+		"value cut":           {answer: "VA 50 O{id}\r\nhel{cut}", want: decide.Reset},
+		"value without end":   {answer: "VA 3 O{id}\r\nhello\r\n", want: decide.Reset},
+		"value too long":      {answer: "VA 99999999 O{id}\r\nhello\r\n", want: decide.Reset},
+		"bad length":          {answer: "VA -5 O{id}\r\nhello\r\n", want: decide.Reset},
+		"another's answer":    {answer: "VA 5 Ozz\r\nhello\r\n", want: decide.Reset},
+		"another's miss":      {answer: "EN Ozz\r\n", want: decide.Reset},
+		"value for a write":   {answer: "VA 5 O{id}\r\nhello\r\n", write: true, want: decide.Reset},
+		"no receipt":          {answer: "HD O{id}\r\n", write: true, want: decide.Reset},
+		"unknown error":       {answer: "SERVER_ERROR on fire\r\n", want: decide.Reset},
+		"client error":        {answer: "CLIENT_ERROR bad\r\n", want: decide.Reset},
+		"no protocol":         {answer: "\x00\x01\r\n", want: decide.Reset},
+		"endless line":        {answer: long, want: decide.Reset},
+		"origin value":        {answer: httpAnswer("200 OK", "fresh"), origin: true, want: decide.OK, reused: true},
+		"origin receipt":      {answer: httpAnswer("200 OK", "77"), origin: true, write: true, want: decide.OK, reused: true},
+		"origin, last":        {answer: httpAnswer("200 OK", "fresh", "Connection: close"), origin: true, want: decide.OK},
+		"origin no receipt":   {answer: httpAnswer("200 OK", "a\r\nb"), origin: true, write: true, want: decide.Reset},
+		"origin error":        {answer: httpAnswer("500 Internal Server Error", ""), origin: true, want: decide.Failed, reused: true},
+		"origin bare 503":     {answer: httpAnswer("503 Service Unavailable", ""), origin: true, want: decide.Failed, reused: true},
+		"origin bare 504":     {answer: httpAnswer("504 Gateway Timeout", ""), origin: true, want: decide.Failed, reused: true},
+		"origin 503 not run":  {answer: httpAnswer("503 Service Unavailable", "", "X-Unprocessed: 1"), origin: true, want: decide.QueueFull, reused: true},
+		"origin 504 not run":  {answer: httpAnswer("504 Gateway Timeout", "", "X-Unprocessed: 1"), origin: true, want: decide.QueueFull, reused: true},
+		"origin 500, header":  {answer: httpAnswer("500 Oh", "", "X-Unprocessed: 1"), origin: true, want: decide.Failed, reused: true},
+		"origin closed":       {answer: "close", origin: true, want: decide.Reset},
+		"origin cut":          {answer: "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nfre{cut}", origin: true, want: decide.Reset},
+		"origin too long":     {answer: httpAnswer("200 OK", strings.Repeat("x", maxValue+1)), origin: true, want: decide.Reset},
+		"origin no protocol":  {answer: "VA 5 O{id}\r\nhello\r\n", origin: true, want: decide.Reset},
+		"origin wrong length": {answer: "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", origin: true, want: decide.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startFake(t, func(string) string { return c.answer })
+			u := testUpstreams(t, 10*time.Second, 10)
+			target, cmd := u.add(f.addr, c.origin), getCommand()
+			if c.write {
+				cmd = putCommand()
+			}
+			got := u.attempt(t.Context(), target, cmd, 400, always)
+			if got.status != c.want || got.note != c.note {
+				t.Errorf("got status %v, note %d; want %v, %d", got.status, got.note, c.want, c.note)
+			}
+			next(t, f.seen, "request")
+			if len(f.seen) > 0 {
+				t.Error("sent twice")
+			}
+			if kept := len(idle(u, target)) == 1; kept != c.reused {
+				t.Errorf("connection kept: %v", kept)
+			}
+		})
+	}
+}
+
+func TestNoConnectionIsNeverRan(t *testing.T) {
+	u := testUpstreams(t, 10*time.Second, 10)
+	ln := listenLocal(t)
+	refusing := u.add(ln.Addr().String(), false)
+	ln.Close()
+	if got := u.attempt(t.Context(), refusing, getCommand(), 400, always); got.status != decide.ConnectError {
+		t.Errorf("refused: got %v", got.status)
+	}
+}
+
+// A kept connection that the server has closed must not carry a request: written to it, it would end as a reset,
+// which may have run.
+func TestClosedKeptConnectionIsNotUsed(t *testing.T) {
+	u := testUpstreams(t, 10*time.Second, 10)
+	f := startFake(t, func(line string) string {
+		if strings.HasPrefix(line, "PUT") { // answers as if to keep the connection, and closes it
+			return httpAnswer("200 OK", "77") + "{cut}"
+		}
+		return httpAnswer("200 OK", "fresh")
+	})
+	target := u.add(f.addr, true)
+	for n := range 3 {
+		if got := u.attempt(t.Context(), target, putCommand(), 400, always); got.status != decide.OK {
+			t.Fatalf("request %d: got %v", n, got.status)
+		}
+		for kept := idle(u, target); len(kept) > 0 && kept[0].quiet(); {
+			time.Sleep(time.Millisecond) // until the end has come over the socket
+		}
+	}
+	if n := f.conns.Load(); n != 3 {
+		t.Errorf("%d connections, want one for each request", n)
+	}
+}
+
+func TestIdleConnectionsAreClosedAheadOfTheServer(t *testing.T) {
+	f := startFake(t, hit)
+	u := testUpstreams(t, 400*time.Millisecond, 10)
+	target, began := u.add(f.addr, false), time.Now()
+	u.attempt(t.Context(), target, getCommand(), 400, always)
+	next(t, f.ended, "end of the idle connection")
+	if took := time.Since(began); took < 200*time.Millisecond {
+		t.Errorf("closed after %v already", took)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open != 0 {
+		t.Errorf("%d connections are still counted", u.open)
+	}
+}
+
+func TestSocketLimit(t *testing.T) {
+	u := testUpstreams(t, 10*time.Second, 1)
+	f, silent := startFake(t, hit), startFake(t, func(string) string { return "" })
+	a, b := u.add(f.addr, false), u.add(silent.addr, false)
+	if got := u.attempt(t.Context(), a, getCommand(), 400, always); got.status != decide.OK {
+		t.Fatalf("got %v", got.status)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan reply, 1)
+	go func() { done <- u.attempt(ctx, b, getCommand(), 400, always) }() // takes the place of the idle one
+	next(t, silent.seen, "request")
+	if got := u.attempt(t.Context(), a, getCommand(), 400, always); got.status != decide.Ignored {
+		t.Errorf("beyond the limit: got %v", got.status)
+	}
+	stop()
+	next(t, done, "end of the attempt that was given up")
+	if got := u.attempt(t.Context(), a, getCommand(), 400, always); got.status != decide.OK {
+		t.Errorf("once there is room: got %v", got.status)
+	}
+}
+
+// An attempt that is called off before its first byte leaves none.
+func TestCalledOffAttemptIsNotWritten(t *testing.T) {
+	f := startFake(t, hit)
+	u := testUpstreams(t, 10*time.Second, 10)
+	target := u.add(f.addr, false)
+	u.attempt(t.Context(), target, getCommand(), 400, func() bool { return false })
+	if got := u.attempt(t.Context(), target, getCommand(), 400, always); got.status != decide.OK {
+		t.Errorf("got %v", got.status)
+	}
+	next(t, f.seen, "request")
+	if len(f.seen) > 0 || f.conns.Load() != 1 {
+		t.Error("the attempt that was called off was written")
+	}
+}
+
+func TestProbe(t *testing.T) {
+	u := testUpstreams(t, 10*time.Second, 10)
+	f := startFake(t, func(string) string { return "STAT qps 12\r\nSTAT util 0.5\r\nEND\r\n" })
+	o := startFake(t, func(string) string { return httpAnswer("200 OK", "", "X-Backend-Load: qps=12,util=0.5") })
+	for _, target := range []*target{u.add(f.addr, false), u.add(o.addr, true)} {
+		if st, l := u.probe(t.Context(), target); st != decide.OK || l.QPS != 12 || l.Util != 0.5 {
+			t.Errorf("origin %v: got %v, %+v", target.origin, st, l)
+		}
+	}
+	if st, _ := u.probe(t.Context(), u.add(startFake(t, func(string) string { return "ERROR\r\n" }).addr, false)); st == decide.OK {
+		t.Error("an error passed for a report")
+	}
+}
