Bound held values, end in time for any deadline, follow discovery under test

Now at most 16 MiB of values are held, beyond that a write is refused, and a drain lasts as long as the longest deadline.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -44,8 +44,8 @@
 }
 
 const (
-	maxPipelined = 64              // commands of a connection that wait for their answer
-	commandTime  = 5 * time.Second // for a command to come whole once it has begun
+	maxPipelined = 16              // commands of a connection that wait for their answer
+	commandTime  = 2 * time.Second // for a command to come whole once it has begun
 	answerTime   = 5 * time.Second // for a client to take an answer
 )
 
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -36,6 +36,7 @@
 	later      []func() // what a Host method has caused: the Balancer must not be called from within its call
 	reqs       map[uint32]*request
 	lastID     uint32
+	held       int // bytes of the values of requests in hand
 	targets    map[uint32]*target
 	ready      atomic.Bool // a list is held
 }
@@ -69,6 +70,10 @@
 	phaseOff            // and will never be written
 )
 
+// maxHeld bounds the bytes of the values of requests in hand. A write is in memory up to three times, as it came and as
+// it goes out.
+const maxHeld = 16 << 20
+
 // grace after a client's deadline within which the answer to a time-out at the deadline comes.
 const grace = 15
 
@@ -125,6 +130,11 @@
 
 // arrive takes a request of a client that was read at the given time.
 func (l *loop) arrive(cmd command, read float64, s *slot) {
+	if l.held+len(cmd.value) > maxHeld { // many large writes at once must not cost the router its life
+		s.answer <- refused(0)
+		return
+	}
+	l.held += len(cmd.value)
 	for l.lastID++; l.reqs[l.lastID] != nil; l.lastID++ { // ids are reused after 2^32 requests
 	}
 	now := l.now()
@@ -167,8 +177,9 @@
 
 // forget drops the record of a request that is over and has no attempt out.
 func (l *loop) forget(r *request) {
-	if r.over && r.out == 0 {
+	if r.over && r.out == 0 && l.reqs[r.id] == r {
 		delete(l.reqs, r.id)
+		l.held -= len(r.cmd.value)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,10 +10,8 @@
 	"mossproxy.example/mossproxy/decide"
 )
 
-const (
-	comeAfterStop = 600 * time.Millisecond // new connections still come for 0.4 s once the router is told to stop
-	stopWithin    = 3 * time.Second        // of then; no client waits that long
-)
+// comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
+const comeAfterStop = 500 * time.Millisecond
 
 // Serve is a router: it serves the clients of ln, which it closes, until ctx ends. Then it answers what it has taken
 // and returns nil.
@@ -58,7 +56,11 @@
 	<-ctx.Done()
 	time.Sleep(comeAfterStop)
 	ln.Close()
-	end, cancel := context.WithTimeout(context.Background(), stopWithin-comeAfterStop)
+	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
+	for _, k := range cfg.settings.Config.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	end, cancel := context.WithTimeout(context.Background(), ms(longest))
 	defer cancel()
 	s.drain(end)
 	return nil
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -675,3 +675,81 @@
 		}
 	})
 }
+
+// The next call of a watch follows within 200 ms, also where the agent answers at once with nothing; an answer that is
+// no list, a failure, and an entry that makes no sense end neither the watch nor the router.
+func TestDiscoveryIsFollowed(t *testing.T) {
+	answers := []string{`{"version":1,"full":true,"servers":[]}`, `{"version":1,"servers":[]}`, `{"version":2,"servers":[{"id":"s-1"`, "503",
+		`{"version":3,"full":true,"servers":[{"id":"s-0000000b","addr":"nowhere","state":"active"},{"id":"","state":"left"},{"id":"x","state":"asleep"}]}`,
+		`{"version":3,"servers":[]}`, `{"version":4,"servers":[{"id":"s-0000000b","addr":"127.0.0.1:1","kind":"box","state":"active"}]}`}
+	type call struct {
+		query string
+		at    time.Time
+	}
+	calls := make(chan call, 100)
+	n := 0
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- call{r.URL.RawQuery, time.Now()}
+		switch {
+		case n >= len(answers):
+			<-r.Context().Done()
+		case answers[n] == "503":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			io.WriteString(w, answers[n])
+		}
+		n++
+	}))
+	defer d.Close()
+	defer d.CloseClientConnections()
+	r := start(t, testConfig(t, d.Listener.Addr().String(), list{}))
+	var before call
+	for i, after := range []string{"", "after=1&", "after=1&", "", "", "after=3&", "after=3&", "after=4&"} {
+		c := next(t, calls, fmt.Sprintf("call %d", i))
+		if !strings.HasPrefix(c.query, after) || after == "" && c.query != "" {
+			t.Errorf("call %d asks %q, want %q", i, c.query, after)
+		}
+		if gap := c.at.Sub(before.at); after != "" && gap > 200*time.Millisecond {
+			t.Errorf("call %d came after %v", i, gap)
+		}
+		before = c
+	}
+	c := dial(t, r.addr)
+	for c.ask("mn") != "MN" {
+	}
+}
+
+// A server that has started anew: connections to the process before it are closed.
+func TestRestartedServerGetsNewConnections(t *testing.T) {
+	s, o := startFake(t, hit), startFake(t, originOK)
+	e := box("s-0000000b", s.addr)
+	r, d := serving(t, e, originAt(o.addr))
+	dial(t, r.addr).ask(read("a1", 2000))
+	e.Started = float64(time.Now().UnixMilli())
+	d.change(e)
+	next(t, s.ended, "end of the old connection")
+}
+
+// Values in hand are bounded: a write beyond that is refused, and has not run.
+func TestHeldValuesAreBounded(t *testing.T) {
+	o := startFake(t, originOK)
+	l, err := newLoop(testConfig(t, "127.0.0.1:1", list{}), newUpstreams(time.Second, time.Second, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.ctx = t.Context()
+	l.targets[0x63] = l.up.add(o.addr, true)
+	l.held = maxHeld - 1
+	cmd := *putCommand()
+	sl := &slot{answer: make(chan []byte, 1)}
+	l.arrive(cmd, l.now(), sl)
+	if got := string(next(t, sl.answer, "answer")); got != "SERVER_ERROR busy\r\n" || len(l.reqs) > 0 || l.held != maxHeld-1 {
+		t.Errorf("got %q, %d requests, %d bytes", got, len(l.reqs), l.held)
+	}
+	l.held = 0
+	cmd.class = "unheard" // the module fails it at once
+	l.arrive(cmd, l.now(), sl)
+	if got := string(next(t, sl.answer, "answer")); got != "SERVER_ERROR failed\r\n" || l.held != 0 {
+		t.Errorf("got %q, %d bytes are still held", got, l.held)
+	}
+}
