Tighten the tests: each now fails without what it guards

Seen by breaking the code on purpose: idle closing, restarted and removed servers, the wait after SIGTERM and the unit of h survived. Now all are caught. The drain waits for a connection that is just being taken.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -69,7 +69,7 @@
 				return
 			}
 			log.Printf("accepting: %v", err)
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(100 * time.Millisecond) // as with no descriptor left: not in a tight loop
 			continue
 		}
 		s.serve(c)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -50,7 +50,7 @@
 	l.post(func() { l.list(decide.Remembered, cfg.Known) })
 	wg.Go(func() { l.disc.run(work) })
 	s := newClients(l, ln, sockets*3/5)
-	wg.Go(s.accept)
+	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
 
 	<-ctx.Done()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -454,12 +455,14 @@
 		}
 		return hit(line)
 	})
+	let := sync.OnceFunc(func() { close(first) })
+	t.Cleanup(let)
 	r, _ := serving(t, box("s-0000000b", s.addr), originAt(startFake(t, originOK).addr))
 	c := dial(t, r.addr)
 	c.send(read("a1", 5000) + "\r\n" + read("a2", 5000) + "\r\nversion\r\n")
 	next(t, s.seen, "request")
 	next(t, s.seen, "request behind it, on a connection of its own")
-	close(first)
+	let()
 	for _, want := range []string{"VA 5 Oa1 hello", "VA 5 Oa2 hello", "ERROR"} {
 		if got := c.line(); got != want {
 			t.Errorf("got %q, want %q", got, want)
@@ -481,8 +484,15 @@
 			c.ask(read("a1", 2000))
 			next(t, s.seen, "request")
 			e.State = state
+			began := time.Now()
 			d.change(e)
 			next(t, d.calls, "watch after the change")
+			if state == "left" {
+				next(t, s.ended, "end of the kept connection")
+				if took := time.Since(began); took > 5*time.Second { // else it only ran out
+					t.Errorf("closed after %v", took)
+				}
+			}
 			for i := range 5 {
 				c.ask(read(fmt.Sprint("b", i), 2000))
 			}
@@ -525,17 +535,19 @@
 // At a planned restart new connections come for a while, and what was taken is answered before the end.
 func TestStopAnswersWhatWasTaken(t *testing.T) {
 	release := make(chan struct{})
-	s := startFake(t, func(line string) string {
-		if strings.Contains(line, "Oslow") {
-			<-release
-		}
-		return hit(line)
+	s := startFake(t, hit)
+	o := startFake(t, func(line string) string {
+		<-release
+		return originOK(line)
 	})
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(startFake(t, originOK).addr))
+	let := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(let)
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
 	idle, busy := dial(t, r.addr), dial(t, r.addr)
-	busy.send(read("slow", 8000) + "\r\n")
-	next(t, s.seen, "request")
+	busy.send(bill("slow", 8000) + "\r\n") // a write, which the module never gives up early
+	next(t, o.seen, "write")
 	r.stop()
+	time.Sleep(300 * time.Millisecond) // new connections come for up to 0.4 s: time itself is what is tested
 	late := dial(t, r.addr)
 	if got := late.ask(read("late", 2000)); got != "VA 5 Olate hello" {
 		t.Errorf("a client that came late got %q", got)
@@ -543,8 +555,8 @@
 	if got := idle.line(); got != "EOF" {
 		t.Errorf("an idle connection got %q", got)
 	}
-	close(release)
-	if got := busy.line(); got != "VA 5 Oslow hello" {
+	let()
+	if got := busy.line(); got != "HD Oslow c5c0f" {
 		t.Errorf("got %q", got)
 	}
 	if got := busy.line(); got != "EOF" {
@@ -641,6 +653,16 @@
 	}
 }
 
+func TestCommandIsRead(t *testing.T) {
+	in := "ms 7f3a9c21e0b4d655 3 Oa1 Pc=put,t=acme,d=480.5,k=7,r=1,h=52000,size=3,zz=1\r\nabc\r\n"
+	got, err := readCommand(bufio.NewReaderSize(strings.NewReader(in), maxLine))
+	want := command{verb: "ms", key: "7f3a9c21e0b4d655", id: "a1", facts: "c=put,t=acme,d=480.5,k=7,r=1,h=52000,size=3,zz=1",
+		value: []byte("abc"), class: "put", tenant: "acme", wait: 480.5, hint: 52, size: 3, retry: true} // h is in microseconds
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
 func FuzzReadCommand(f *testing.F) {
 	f.Add([]byte(read("a1", 480) + "\r\n"))
 	f.Add([]byte(bill("a1", 480) + "\r\n"))
@@ -726,8 +748,12 @@
 	r, d := serving(t, e, originAt(o.addr))
 	dial(t, r.addr).ask(read("a1", 2000))
 	e.Started = float64(time.Now().UnixMilli())
+	began := time.Now()
 	d.change(e)
 	next(t, s.ended, "end of the old connection")
+	if took := time.Since(began); took > 5*time.Second { // else it only ran out
+		t.Errorf("closed after %v", took)
+	}
 }
 
 // Values in hand are bounded: a write beyond that is refused, and has not run.
--- a/internal/router/upstream_test.go
+++ b/internal/router/upstream_test.go
@@ -150,8 +150,8 @@
 	target, began := u.add(f.addr, false), time.Now()
 	u.attempt(t.Context(), target, getCommand(), 400, always)
 	next(t, f.ended, "end of the idle connection")
-	if took := time.Since(began); took < 200*time.Millisecond {
-		t.Errorf("closed after %v already", took)
+	if took := time.Since(began); took < 200*time.Millisecond || took > 3*time.Second {
+		t.Errorf("closed after %v", took)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
