Take SIGHUP: move to the discovery that the new configuration names

Now SIGHUP is taken before anything may fail. The file is read again; a bad one is logged and changes nothing. The old watch ends, what it still tells is passed over (newSource), and the held list serves until the new one tells the whole.

--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -16,13 +16,15 @@
 )
 
 func main() {
-	if err := run(); err != nil {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // first of all: unhandled, it ends the program
+	if err := run(hup); err != nil {
 		fmt.Fprintln(os.Stderr, "cottonyoke:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(hup <-chan os.Signal) error {
 	path := os.Getenv("GW_CONFIG")
 	if path == "" {
 		return fmt.Errorf("GW_CONFIG: not set")
@@ -40,5 +42,29 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return router.Serve(ctx, cfg, ln)
+	updates := make(chan *router.Config)
+	go reload(ctx, path, hup, updates)
+	return router.Serve(ctx, cfg, ln, updates)
+}
+
+// reload hands on the configuration at path as it is at each SIGHUP, until ctx ends. A bad one is logged and changes
+// nothing.
+func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg, err := router.LoadConfig(path, os.Getenv)
+		if err != nil {
+			log.Printf("SIGHUP: the configuration is kept: %v", err)
+			continue
+		}
+		select {
+		case updates <- cfg:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -85,15 +85,17 @@
 
 const (
 	watchWait   = 10 * time.Second // of one call; well under what may pass before news counts as told
-	callSlack   = time.Second      // for its answer to come
+	callSlack   = time.Second      // for its answer to come; twice that where calls wait in turn
 	quickAnswer = 50 * time.Millisecond
-	maxList     = 8 << 20
+	maxList     = 1 << 20 // some thousands of servers
+	maxHeaders  = 64 << 10
 )
 
 func newDiscovery(addr string, onAsk bool, tell func(list), broke func()) *discovery {
 	return &discovery{url: "http://" + addr + "/v1/servers", onAsk: onAsk, asked: make(chan struct{}, 1),
 		tell: tell, broke: broke,
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaders,
+			DialContext: (&net.Dialer{Timeout: callSlack}).DialContext}}}
 }
 
 // watch asks discovery to be watched from now on.
@@ -131,7 +133,11 @@
 // follow gets the whole list and the changes after it, until a call fails.
 func (d *discovery) follow(ctx context.Context) {
 	asked := time.Now()
-	l, err := d.call(ctx, d.url, 2*callSlack)
+	within := callSlack
+	if d.onAsk {
+		within *= 2
+	}
+	l, err := d.call(ctx, d.url, within)
 	for err == nil {
 		d.tell(l)
 		if !l.Full && len(l.Servers) == 0 && time.Since(asked) < quickAnswer {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -25,7 +25,7 @@
 	clock
 	b          *decide.Balancer
 	up         *upstreams
-	disc       *discovery
+	disc       *discovery // the one that is heard
 	copies     bool
 	originKind string
 	maxTry     int
@@ -263,6 +263,14 @@
 	}
 }
 
+// follow hears d from now on, and no discovery before it. The list that is held stays until d gives a whole one.
+func (l *loop) follow(d *discovery) {
+	if l.disc != nil {
+		d.watch() // the Balancer has asked already, of the one before
+	}
+	l.disc = d
+}
+
 func (l *loop) drop(id uint32) {
 	if t := l.targets[id]; t != nil {
 		delete(l.targets, id)
@@ -352,7 +360,11 @@
 }
 
 // Watch asks discovery for changes from now on.
-func (l *loop) Watch() { l.disc.watch() }
+func (l *loop) Watch() {
+	if l.disc != nil {
+		l.disc.watch()
+	}
+}
 
 // Tell sends nothing: the module has nothing to tell other routers.
 func (l *loop) Tell([]byte) {}
--- /dev/null
+++ b/internal/router/reload_test.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A configuration that names another discovery: the list that is held serves until the new one tells the whole, the
+// old watch ends, and what the old one says from then on counts for nothing.
+func TestNewDiscoveryTakesOver(t *testing.T) {
+	a, b, o := startFake(t, hit), startFake(t, hit), startFake(t, originOK)
+	r, old := serving(t, box("s-0000000b", a.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+
+	tell, ended := make(chan struct{}), make(chan struct{}, 10)
+	second := startDirectory(t, full(box("s-0000000c", b.addr), originAt(o.addr)))
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-tell:
+			second.Config.Handler.ServeHTTP(w, r)
+		case <-r.Context().Done():
+			ended <- struct{}{}
+		}
+	}))
+	t.Cleanup(func() { slow.CloseClientConnections(); slow.Close() })
+	r.updates <- testConfig(t, slow.Listener.Addr().String(), list{})
+	next(t, ended, "end of a first call, which was not answered") // so the new one is asked again and again
+	if got := c.ask(read("a1", 5000)); got != "VA 5 Oa1 hello" {
+		t.Errorf("while the new one is silent: got %q", got)
+	}
+	next(t, a.seen, "request at the server of the list that is held")
+	gone := originAt(o.addr)
+	gone.State = "left"
+	old.change(gone) // the watch is over: nobody hears it
+	close(tell)
+	next(t, second.calls, "call for the whole list")
+	next(t, second.calls, "watch")
+	next(t, a.ended, "end of the connection to the server that the new list lacks")
+	for i := range 3 {
+		if got := c.ask(read(fmt.Sprint("b", i), 5000)); !strings.HasSuffix(got, "hello") {
+			t.Errorf("after the change: got %q", got)
+		}
+		next(t, b.seen, "request at the server of the new list")
+	}
+	if got := c.ask(bill("w", 5000)); got != "HD Ow c5c0f" {
+		t.Errorf("the origin that the old discovery took away: got %q", got)
+	}
+}
+
+// An answer of the old discovery that is on its way when the new one is named is not heard.
+func TestLateAnswerOfTheOldDiscoveryIsPassedOver(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", list{})
+	l, err := newLoop(cfg, newUpstreams(time.Second, time.Second, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, fresh := l.newSource(cfg), l.newSource(cfg)
+	l.follow(old)
+	old.tell(full(box("s-0000000b", "127.0.0.1:1")))
+	l.follow(fresh)
+	(<-l.events)()
+	if len(l.targets) != 0 {
+		t.Error("the old discovery is still heard")
+	}
+	fresh.tell(full(box("s-0000000b", "127.0.0.1:1")))
+	(<-l.events)()
+	if len(l.targets) != 1 {
+		t.Error("the new discovery is not heard")
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,8 +14,8 @@
 const comeAfterStop = 500 * time.Millisecond
 
 // Serve is a router: it serves the clients of ln, which it closes, until ctx ends. Then it answers what it has taken
-// and returns nil.
-func Serve(ctx context.Context, cfg *Config, ln net.Listener) error {
+// and returns nil. From a configuration that comes in updates it takes the address of discovery.
+func Serve(ctx context.Context, cfg *Config, ln net.Listener, updates <-chan *Config) error {
 	defer ln.Close()
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	sockets := cfg.Limits.Sockets - fdReserve
@@ -24,21 +24,6 @@
 	if err != nil {
 		return err
 	}
-	l.disc = newDiscovery(cfg.Discovery, cfg.settings.Config.AskList,
-		func(got list) {
-			l.post(func() {
-				kind := decide.Changes
-				if got.Full {
-					kind = decide.Full
-				}
-				l.list(kind, got)
-			})
-		},
-		func() {
-			if cfg.settings.Config.AskList {
-				l.post(func() { l.list(decide.Refused, list{}) })
-			}
-		})
 
 	work, stop := context.WithCancel(context.Background()) // outlives ctx: what was taken is still served
 	defer stop()
@@ -48,7 +33,7 @@
 	wg.Go(func() { l.run(work) })
 	wg.Go(func() { up.sweep(work) })
 	l.post(func() { l.list(decide.Remembered, cfg.Known) })
-	wg.Go(func() { l.disc.run(work) })
+	wg.Go(func() { l.discover(work, cfg, updates) })
 	s := newClients(l, ln, sockets*3/5)
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
@@ -65,3 +50,55 @@
 	s.drain(end)
 	return nil
 }
+
+// discover follows the discovery that the configuration names, until ctx ends.
+func (l *loop) discover(ctx context.Context, cfg *Config, updates <-chan *Config) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		life, end := context.WithCancel(ctx)
+		d := l.newSource(cfg)
+		l.post(func() { l.follow(d) }) // before anything that it tells
+		wg.Go(func() { d.run(life) })
+		next := cfg
+		for next == cfg || next.Discovery == cfg.Discovery {
+			select {
+			case <-ctx.Done():
+				end()
+				return
+			case next = <-updates:
+				log.Printf("SIGHUP: discovery at %s", next.Discovery)
+			}
+		}
+		end() // the old watch
+		cfg = next
+	}
+}
+
+// newSource is the discovery of a configuration. It is heard while the loop follows it: an answer of one before it
+// that is still on its way is older than what the new one tells, and counts for nothing.
+func (l *loop) newSource(cfg *Config) *discovery {
+	var d *discovery
+	ask := cfg.settings.Config.AskList
+	heard := func(do func()) {
+		l.post(func() {
+			if l.disc == d {
+				do()
+			}
+		})
+	}
+	d = newDiscovery(cfg.Discovery, ask,
+		func(got list) {
+			kind := decide.Changes
+			if got.Full {
+				kind = decide.Full
+			}
+			heard(func() { l.list(kind, got) })
+		},
+		func() {
+			if ask {
+				heard(func() { l.list(decide.Refused, list{}) })
+			}
+		})
+	return d
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -234,9 +234,10 @@
 
 // running is a router under test.
 type running struct {
-	addr string
-	stop context.CancelFunc
-	done chan error
+	addr    string
+	stop    context.CancelFunc
+	done    chan error
+	updates chan *Config
 }
 
 func testConfig(t testing.TB, discovery string, known list) *Config {
@@ -261,11 +262,11 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	ln := listenLocal(t)
-	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	r := &running{addr: ln.Addr().String(), stop: stop, done: make(chan error, 1), updates: make(chan *Config)}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.done <- Serve(ctx, cfg, ln)
+		r.done <- Serve(ctx, cfg, ln, r.updates)
 	}()
 	t.Cleanup(func() { stop(); <-ended })
 	return r
