Bound what clients may send, hold and wait for

Confirmed by tests that failed before: slots of answered requests stayed in read's open list for the life of a connection (unanswered tested a channel that the writer had emptied); timers kept request and value until due, up to 49 days for d=; hexadecimal, exponents, signs, repeated facts, missing flags, unknown classes and the id of an open request passed; no limit on the first command; an error closed with input unread, which resets; 16 MiB of values at any memory. Now: one parse at the edge, before the value is read; CLIENT_ERROR behind the answers before it, a half-close, then up to 256 KiB or 0.5 s of reading; 2 s for the first command, 10 s idle; the longest idle gives way, never one with a request open; timers are taken out of the heap; budgets and upstream connections follow memory_mb and sockets; one goroutine for a connection, a second only while there are answers to write.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -13,11 +13,26 @@
 	"time"
 )
 
-// slot is the place of a request's answer among those of its connection.
+// Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
+const (
+	maxPipelined = 16                     // commands of a connection that wait for their answer
+	maxUnknown   = 4                      // commands of a connection that the router does not know
+	firstTime    = 2 * time.Second        // for the first command to come whole
+	commandTime  = 2 * time.Second        // for a later one to come whole once it has begun
+	idleTime     = 10 * time.Second       // for the next one to begin
+	answerTime   = 5 * time.Second        // for a client to take its answers
+	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
+	lingerBytes  = 256 << 10              // of its input that are read meanwhile
+	askSoon      = 200 * time.Millisecond // a connection that has asked nothing after that
+	asksNothing  = time.Second            // counts as idle for that much longer
+)
+
+// slot is the place of a command's answer among those of its connection.
 type slot struct {
-	id     uint32      // the loop's
-	answer chan []byte // of capacity 1; nil where there is nobody to answer
-	last   bool        // the connection ends with this answer
+	c     *clientConn
+	req   *request // the loop's
+	text  []byte   // guarded by c.mu, as the others
+	ready bool
 }
 
 // clients serves the connections of clients.
@@ -25,6 +40,7 @@
 	l        *loop
 	ln       net.Listener
 	room     chan struct{} // a place for each connection that may be open
+	readers  sync.Pool     // of *bufio.Reader: bad clients come and go by hundreds
 	draining atomic.Bool
 	wg       sync.WaitGroup
 
@@ -32,39 +48,37 @@
 	conns map[*clientConn]struct{}
 }
 
-// clientConn is a client's connection. One goroutine reads commands, another writes the answers in their order.
+// clientConn is a client's connection. One goroutine reads commands; while there are answers to write, another writes
+// them in the order of the commands.
 type clientConn struct {
 	net.Conn
-	r        *bufio.Reader
-	pending  chan *slot
-	busy     atomic.Int32 // commands that are not answered
-	since    atomic.Int64 // idle since, in Unix nanoseconds
-	reading  sync.Mutex   // held while a command is being read
-	draining atomic.Bool
+	s *clients
+	r *bufio.Reader
+
+	mu      sync.Mutex
+	changed sync.Cond // the queue got shorter
+	queue   []*slot   // whose answers are not being written yet
+	writing int       // answers that are
+	broken  bool      // nothing can be written any more
+	asked   bool      // a command has come
+	reading bool      // another has begun
+	closing bool      // ends as soon as nothing waits for its answer
+	since   time.Time // idle since, while nothing is open
 }
 
-const (
-	maxPipelined = 16              // commands of a connection that wait for their answer
-	commandTime  = 2 * time.Second // for a command to come whole once it has begun
-	answerTime   = 5 * time.Second // for a client to take an answer
-)
+// open counts the commands that are not answered. The caller holds mu.
+func (c *clientConn) open() int { return len(c.queue) + c.writing }
 
 func newClients(l *loop, ln net.Listener, limit int) *clients {
-	return &clients{l: l, ln: ln, room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{}}
+	return &clients{l: l, ln: ln, room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
+		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxLine) }}}
 }
 
 // accept takes connections until the listener is closed.
 func (s *clients) accept() {
 	for {
-		select {
-		case s.room <- struct{}{}:
-		default: // the limit on sockets: an idle connection makes room
-			s.evict()
-			s.room <- struct{}{}
-		}
 		c, err := s.ln.Accept()
 		if err != nil {
-			<-s.room
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
@@ -72,150 +86,295 @@
 			time.Sleep(100 * time.Millisecond) // as with no descriptor left: not in a tight loop
 			continue
 		}
+		s.place()
 		s.serve(c)
 	}
 }
 
-// evict closes the connection that has been idle for longest.
+// place takes a place for a connection. When all are taken, the connection that has been idle for longest gives way;
+// where each has a request open, the next one waits.
+func (s *clients) place() {
+	for {
+		select {
+		case s.room <- struct{}{}:
+			return
+		default:
+		}
+		s.evict()
+		select {
+		case s.room <- struct{}{}:
+			return
+		case <-time.After(10 * time.Millisecond): // it may have got a request just then
+		}
+	}
+}
+
+// evict ends the connection that has been idle for longest.
 func (s *clients) evict() {
 	var oldest *clientConn
+	var since time.Time
 	s.mu.Lock()
 	for c := range s.conns {
-		if c.busy.Load() == 0 && (oldest == nil || c.since.Load() < oldest.since.Load()) {
-			oldest = c
+		if at, idle := c.idle(); idle && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
 		}
 	}
 	s.mu.Unlock()
 	if oldest != nil {
-		oldest.drain()
+		oldest.drop()
 	}
 }
 
 func (s *clients) serve(nc net.Conn) {
-	c := &clientConn{Conn: nc, r: bufio.NewReaderSize(nc, maxLine), pending: make(chan *slot, maxPipelined)}
-	c.since.Store(time.Now().UnixNano())
+	r := s.readers.Get().(*bufio.Reader)
+	r.Reset(nc)
+	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now()}
+	c.changed.L = &c.mu
+	nc.SetReadDeadline(time.Now().Add(firstTime))
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
-	s.wg.Add(2)
-	written := make(chan struct{})
-	go func() {
-		defer s.wg.Done()
-		defer close(written)
-		c.write()
-	}()
-	go func() {
-		defer s.wg.Done()
-		s.read(c)
-		close(c.pending)
-		<-written
+	s.wg.Go(func() {
+		turnedAway := c.read()
+		c.finish(turnedAway)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		r.Reset(nil)
+		s.readers.Put(r)
 		<-s.room
-	}()
+	})
 	if s.draining.Load() {
 		c.drain()
 	}
 }
 
-// drain closes the connection as soon as no command is being read or waits for its answer.
+// idle tells since when the connection has had no request open.
+func (c *clientConn) idle() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if since = c.since; !c.asked && time.Since(since) > askSoon { // else silent ones would drive out the usual clients
+		since = since.Add(-asksNothing)
+	}
+	return since, c.open() == 0 && !c.closing
+}
+
+// drain ends the connection once nothing waits for its answer and no command is coming.
 func (c *clientConn) drain() {
-	c.draining.Store(true)
-	if c.reading.TryLock() { // else the reader sees the mark when it has the command
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing = true; !c.reading {
 		c.SetReadDeadline(time.Unix(1, 0))
-		c.reading.Unlock()
 	}
 }
 
-// read reads commands until the client leaves, sends what is no command, or the connection is drained.
-func (s *clients) read(c *clientConn) {
-	var open []*slot // those that may be unanswered
-	for {
-		if c.draining.Load() && c.r.Buffered() == 0 {
-			return
+// drop ends the connection at once if no request is open: half a command is none.
+func (c *clientConn) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open() == 0 {
+		c.closing = true
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// begin tells that a command has begun. The first one's time has run since the connection came.
+func (c *clientConn) begin(first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading = true; !first || c.closing {
+		c.SetReadDeadline(time.Now().Add(commandTime))
+	}
+}
+
+// await sets the time for the next command: none while requests are open, as then the client's leaving is waited for.
+// It tells whether one is to be read.
+func (c *clientConn) await() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.asked = false, true
+	for c.open() >= maxPipelined && !c.broken {
+		c.changed.Wait()
+	}
+	switch {
+	case c.broken:
+		return false
+	case c.closing: // what has come already is answered
+		return c.r.Buffered() > 0
+	case c.open() > 0:
+		c.SetReadDeadline(time.Time{})
+	default:
+		c.SetReadDeadline(time.Now().Add(idleTime))
+	}
+	return true
+}
+
+// read reads commands until the client leaves, is turned away for what it sent, or the connection's time is up.
+func (c *clientConn) read() (turnedAway bool) {
+	unknown := 0
+	for first := true; ; first = false {
+		_, err := c.r.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) && waiting(c.Conn) { // a command that crosses the end of the time
+			c.begin(false)
+			_, err = c.r.Peek(1)
 		}
-		if _, err := c.r.Peek(1); err != nil {
-			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				s.leave(open)
-				return
+		if err != nil {
+			return c.unread(err)
+		}
+		c.begin(first)
+		cmd, err := readCommand(c.r) // the value is read only if the rest makes sense
+		if err == nil {
+			err = c.s.l.check(&cmd)
+		}
+		refuse := err == nil && (cmd.verb == "mg" || cmd.verb == "ms") && !c.s.l.room(&cmd)
+		if err == nil && cmd.verb == "ms" {
+			if cmd.value, err = readValue(c.r, cmd.length, refuse); err != nil && !refuse {
+				c.s.l.held.give(cmd.length)
 			}
-			continue // draining
 		}
-		c.reading.Lock()
-		c.SetReadDeadline(time.Now().Add(commandTime))
-		cmd, err := readCommand(c.r)
-		read := s.l.now()
-		c.SetReadDeadline(time.Time{})
-		c.busy.Add(1)
-		c.reading.Unlock()
-		sl := &slot{answer: make(chan []byte, 1)}
+		read := c.s.l.now()
+		if err != nil && !errors.Is(err, errMalformed) {
+			return c.unread(err)
+		}
+		sl := c.push()
 		switch {
-		case errors.Is(err, errMalformed):
-			sl.last = true
-			sl.answer <- []byte("CLIENT_ERROR " + err.Error() + "\r\n")
-			c.pending <- sl
-			io.Copy(io.Discard, c) // until the answers before it are out: what follows has no known form
-			return
 		case err != nil:
-			s.leave(open)
-			return
+			sl.answer([]byte("CLIENT_ERROR " + err.Error() + "\r\n"))
+			return true
+		case refuse: // many large writes at once must not cost the router its life
+			sl.answer(refused(0))
 		case cmd.verb == "mg" || cmd.verb == "ms":
-			open = append(unanswered(open), sl)
-			s.l.post(func() { s.l.arrive(cmd, read, sl) })
+			c.s.l.post(func() { c.s.l.arrive(cmd, read, sl) })
 		case cmd.verb == "mn":
-			sl.answer <- s.readiness()
+			sl.answer(c.s.readiness())
 		case cmd.verb == "quit":
-			sl.last = true
-			sl.answer <- nil
+			sl.answer(nil)
+			return true
 		default:
-			sl.answer <- []byte("ERROR\r\n")
+			sl.answer([]byte("ERROR\r\n"))
+			if unknown++; unknown == maxUnknown {
+				return true
+			}
+		}
+		if !c.await() {
+			return c.unread(os.ErrDeadlineExceeded)
 		}
-		c.pending <- sl
 	}
 }
 
-// readiness answers mn: the router is used from MN on, so it must be able to serve.
-func (s *clients) readiness() []byte {
-	if s.l.ready.Load() && !s.draining.Load() {
-		return []byte("MN\r\n")
+// unread ends the reading of a connection after an error. Where the client has not left, what was taken is answered.
+func (c *clientConn) unread(err error) (turnedAway bool) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
 	}
-	return []byte("SERVER_ERROR not ready\r\n")
-}
-
-func unanswered(open []*slot) []*slot {
-	kept := open[:0]
+	c.mu.Lock()
+	open := c.queue
+	c.broken, c.queue = true, nil
 	for _, sl := range open {
-		if len(sl.answer) == 0 && !sl.last {
-			kept = append(kept, sl)
+		if sl.ready {
+			c.s.l.queued.give(len(sl.text))
 		}
 	}
-	return kept
+	c.mu.Unlock()
+	for _, sl := range open {
+		c.s.l.post(func() { c.s.l.gone(sl) })
+	}
+	return false
 }
 
-// leave tells that the client of these has gone.
-func (s *clients) leave(open []*slot) {
-	for _, sl := range open {
-		s.l.post(func() { s.l.gone(sl.id, sl) })
+// finish waits until all answers are out and closes the connection. A close with input unread would reset it, and might
+// destroy answers on their way: a client that was turned away sees the end of the answers first, and is read on for a
+// bounded time.
+func (c *clientConn) finish(turnedAway bool) {
+	c.mu.Lock()
+	for c.open() > 0 && !c.broken {
+		c.changed.Wait()
+	}
+	broken := c.broken
+	c.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && turnedAway && !broken && half.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(lingerTime))
+		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, maxLine)) //nolint:errcheck // it is unwanted
 	}
+	c.Close()
 }
 
-// write writes the answers in the order of the commands, and closes the connection after the last.
-func (c *clientConn) write() {
-	defer c.Close()
-	broken := false
-	for sl := range c.pending {
-		answer := <-sl.answer
-		if !broken {
-			c.SetWriteDeadline(time.Now().Add(answerTime))
-			_, err := c.Write(answer)
-			if broken = err != nil || sl.last; broken {
-				c.Close() // which ends the reader too
-			}
+// onlyReader hides the methods by which a copy would do without the buffer it is given.
+type onlyReader struct{ io.Reader }
+
+// push makes a place for the answer to a command that has come.
+func (c *clientConn) push() *slot {
+	sl := &slot{c: c}
+	c.mu.Lock()
+	c.queue = append(c.queue, sl)
+	c.mu.Unlock()
+	return sl
+}
+
+// answer gives the answer to a command. It does not block.
+func (sl *slot) answer(text []byte) {
+	c := sl.c
+	c.s.l.queued.add(len(text))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sl.text, sl.ready = text, true; c.broken {
+		c.s.l.queued.give(len(text))
+		return
+	}
+	if c.writing == 0 && c.queue[0].ready {
+		out, size := c.batch()
+		c.s.wg.Go(func() { c.write(out, size) })
+	}
+}
+
+// batch takes the answers that are there off the queue, in the order of the commands. The caller holds mu.
+func (c *clientConn) batch() (out net.Buffers, size int) {
+	c.writing = 0
+	for len(c.queue) > 0 && c.queue[0].ready {
+		out, size = append(out, c.queue[0].text), size+len(c.queue[0].text)
+		c.queue, c.writing = c.queue[1:], c.writing+1
+	}
+	return out, size
+}
+
+// write writes answers until none is there.
+func (c *clientConn) write(out net.Buffers, size int) {
+	for len(out) > 0 {
+		c.SetWriteDeadline(time.Now().Add(answerTime))
+		_, err := out.WriteTo(c.Conn)
+		c.s.l.queued.give(size)
+		out, size = c.written(err)
+	}
+}
+
+// written books what has been written and returns what is next.
+func (c *clientConn) written(err error) (out net.Buffers, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed.Broadcast()
+	if err != nil && !c.broken {
+		c.broken = true
+		c.Close() // which ends the reader too; it tells the loop
+	}
+	if c.broken {
+		c.writing = 0
+		return nil, 0
+	}
+	if out, size = c.batch(); c.open() == 0 {
+		c.queue = nil // and the answers that its array holds
+		if c.since = time.Now(); !c.closing {
+			c.SetReadDeadline(c.since.Add(idleTime))
 		}
-		c.since.Store(time.Now().UnixNano())
-		c.busy.Add(-1)
 	}
+	return out, size
+}
+
+// readiness answers mn: the router is used from MN on, so it must be able to serve.
+func (s *clients) readiness() []byte {
+	if s.l.ready.Load() && !s.draining.Load() {
+		return []byte("MN\r\n")
+	}
+	return []byte("SERVER_ERROR not ready\r\n")
 }
 
 // drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
--- /dev/null
+++ b/internal/router/client_test.go
@@ -0,0 +1,264 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// parts is a router whose loop the test can look at.
+func parts(t *testing.T, memoryMB int64, places int, entries ...entry) (*loop, string) {
+	t.Helper()
+	cfg := testConfig(t, "127.0.0.1:1", list{})
+	cfg.Limits.MemoryMB = memoryMB
+	l, err := newLoop(cfg, newUpstreams(10*time.Second, time.Second, 100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := listenLocal(t)
+	s := newClients(l, ln, places)
+	s.wg.Go(func() { l.run(t.Context()) })
+	s.wg.Go(s.accept)
+	l.post(func() { l.list(0, full(entries...)) })
+	return l, ln.Addr().String()
+}
+
+// look runs do on the loop, once what was posted before has been carried out.
+func look(l *loop, do func()) {
+	done := make(chan struct{})
+	l.post(func() { do(); close(done) })
+	<-done
+}
+
+// What is kept for a request ends with it, also on a connection that stays, and for deadlines far away.
+func TestNothingIsKeptOfAnsweredRequests(t *testing.T) {
+	s, o := startFake(t, hit), startFake(t, originOK)
+	l, addr := parts(t, 192, 10, box("s-0000000b", s.addr), originAt(o.addr))
+	c := dial(t, addr)
+	for i := range 50 {
+		if got := c.ask(read(fmt.Sprint("a", i), 4000000000)); !strings.HasPrefix(got, "VA ") {
+			t.Fatalf("got %q", got)
+		}
+		c.ask(fmt.Sprintf("ms 7f3a9c21e0b4d655 3 Ow%d Pc=put,t=t,d=4000000000,k=7\r\nabc", i))
+	}
+	own := 0
+	look(l, func() {
+		for _, tm := range l.timers {
+			if tm.at > l.now()+2500 {
+				own++
+			}
+		}
+		if len(l.reqs)+len(l.open) > 0 || own > 0 || len(l.timers) > 150 || l.held.used.Load() != 0 || l.queued.used.Load() != 0 {
+			t.Errorf("%d requests, %d ids, %d timers (%d far away), %d and %d bytes", len(l.reqs), len(l.open), len(l.timers), own,
+				l.held.used.Load(), l.queued.used.Load())
+		}
+	})
+}
+
+// A client may not name the id of a request that is open.
+func TestIDOfAnOpenRequest(t *testing.T) {
+	release := make(chan struct{})
+	s := startFake(t, func(line string) string { <-release; return hit(line) })
+	l, addr := parts(t, 192, 10, box("s-0000000b", s.addr), originAt(s.addr))
+	one, two := dial(t, addr), dial(t, addr)
+	one.send(read("a1", 2000) + "\r\n")
+	next(t, s.seen, "request")
+	if got := two.ask(read("a1", 2000)); !strings.HasPrefix(got, "CLIENT_ERROR ") {
+		t.Errorf("got %q", got)
+	}
+	close(release)
+	if got := one.line(); got != "VA 5 Oa1 hello" {
+		t.Errorf("got %q", got)
+	}
+	if got := two.ask(read("a1", 2000)); got != "VA 5 Oa1 hello" {
+		t.Errorf("once it is answered: got %q", got)
+	}
+	look(l, func() {
+		if len(s.seen) != 1 {
+			t.Errorf("%d more requests were passed on", len(s.seen))
+		}
+	})
+}
+
+// Connections that ask nothing end in time; half a command does not help. One with a request open stays.
+func TestSilentClientsAreClosed(t *testing.T) {
+	release := make(chan struct{})
+	o := startFake(t, func(line string) string { <-release; return originOK(line) })
+	r, _ := serving(t, box("s-0000000b", startFake(t, miss).addr), originAt(o.addr))
+	began := time.Now()
+	busy := dial(t, r.addr)
+	busy.send(bill("slow", 8000) + "\r\n")
+	next(t, o.seen, "write")
+	close(release)
+	for name, text := range map[string]string{"silent": "", "half a command": "mg 7f3a", "half a value": "ms k 60000 Oa1 Pc=put,d=900,k=1\r\nabc"} {
+		c := dial(t, r.addr)
+		c.send(text)
+		if got := c.line(); got != "EOF" {
+			t.Errorf("%s: got %q", name, got)
+		}
+		if took := time.Since(began); took > firstTime*3+time.Second {
+			t.Errorf("%s: closed after %v", name, took)
+		}
+	}
+	if got := busy.line(); got != "HD Oslow c5c0f" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Silent clients by the hundred take all places: the usual ones get theirs, and none with a request open is closed.
+func TestPlacesAreTakenFromTheIdle(t *testing.T) {
+	release := make(chan struct{})
+	s := startFake(t, func(line string) string {
+		if strings.Contains(line, "Oslow ") {
+			<-release
+		}
+		return hit(line)
+	})
+	_, addr := parts(t, 192, 8, box("s-0000000b", s.addr), originAt(s.addr))
+	busy := dial(t, addr)
+	busy.send(read("slow", 2000) + "\r\n")
+	next(t, s.seen, "request")
+	for i := range 40 {
+		dial(t, addr).send("mg half")
+		if i%10 == 0 {
+			if got := dial(t, addr).ask(read(fmt.Sprint(i), 2000)); !strings.HasPrefix(got, "VA ") {
+				t.Errorf("a client among silent ones got %q", got)
+			}
+		}
+	}
+	close(release)
+	if got := busy.line(); got != "VA 5 Oslow hello" {
+		t.Errorf("the client with a request open got %q", got)
+	}
+}
+
+// The answers before an error reach the client, however much it goes on sending: the connection isn't reset at once.
+func TestAnswersSurviveRejectedInput(t *testing.T) {
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	for range 20 {
+		c := dial(t, r.addr)
+		go io.WriteString(c, read("a1", 2000)+"\r\nms k 62914560 Oa2 Pc=put,d=900,k=1\r\n"+strings.Repeat("x", 100<<10))
+		time.Sleep(20 * time.Millisecond) // so that an early reset would be there before the answers are read
+		if got := c.line(); got != "VA 5 Oa1 hello" {
+			t.Fatalf("got %q", got)
+		}
+		if got := c.line(); !strings.HasPrefix(got, "CLIENT_ERROR ") {
+			t.Fatalf("got %q", got)
+		}
+		if got := c.line(); got != "EOF" {
+			t.Fatalf("got %q", got)
+		}
+	}
+}
+
+// A client that sends for ever is read for a bounded time and number of bytes.
+func TestEndlessInputIsCutOff(t *testing.T) {
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	c := dial(t, r.addr)
+	c.send("ms k 62914560 Oa2 Pc=put,d=900,k=1\r\n")
+	chunk, sent := make([]byte, 64<<10), 0
+	for sent < 60<<20 {
+		n, err := c.Write(chunk)
+		if sent += n; err != nil {
+			break
+		}
+	}
+	if sent >= 60<<20 {
+		t.Error("all of a value of 60 MB was taken")
+	}
+	if got := dial(t, r.addr).ask(read("a1", 2000)); got != "VA 5 Oa1 hello" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Unknown commands are told so a few times, and then end the connection.
+func TestUnknownCommandsAreBounded(t *testing.T) {
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	c := dial(t, r.addr)
+	c.send(strings.Repeat("version\r\n", 10*maxUnknown))
+	for range maxUnknown {
+		if got := c.line(); got != "ERROR" {
+			t.Errorf("got %q", got)
+		}
+	}
+	if got := c.line(); got != "EOF" {
+		t.Errorf("then %q", got)
+	}
+}
+
+// Values in hand are bounded by the memory that the configuration tells: a write beyond that is refused, and has not
+// run.
+func TestHeldValuesAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	o := startFake(t, func(line string) string { <-release; return originOK(line) })
+	l, addr := parts(t, 16, 100, originAt(o.addr)) // a budget of 1 MiB
+	value := strings.Repeat("v", maxValue)
+	write := func(c *client, id int) {
+		c.send(fmt.Sprintf("ms 7f3a9c21e0b4d655 %d Ow%d Pc=put,t=t,d=2000,k=%d\r\n%s\r\n", maxValue, id, id, value))
+	}
+	var first []*client
+	for i := range 16 {
+		c := dial(t, addr)
+		write(c, i)
+		first = append(first, c)
+	}
+	for full := false; !full; {
+		look(l, func() { full = l.held.used.Load() == l.held.limit })
+	}
+	c := dial(t, addr)
+	write(c, 99)
+	if got := c.line(); got != "SERVER_ERROR busy" {
+		t.Errorf("beyond the bound: got %q", got)
+	}
+	close(release)
+	for _, c := range first {
+		c.line()
+	}
+	write(c, 100)
+	if got := c.line(); got != "HD Ow100 c5c0f" {
+		t.Errorf("once there is room: got %q", got)
+	}
+}
+
+// Answers that a client does not take are bounded too: what comes beyond is refused before it is asked for.
+func TestUntakenAnswersAreBounded(t *testing.T) {
+	l, addr := parts(t, 16, 10, originAt("127.0.0.1:1"))
+	l.queued.add(int(l.queued.limit))
+	c := dial(t, addr)
+	if got := c.ask(read("a1", 2000)); got != "SERVER_ERROR busy" {
+		t.Errorf("got %q", got)
+	}
+	look(l, func() {
+		if l.lastID != 0 {
+			t.Error("the request reached the module")
+		}
+	})
+}
+
+// A command that comes just as the connection's time is up shows, though a read says only that the time is up.
+func TestInputIsSeenWhenTheTimeIsUp(t *testing.T) {
+	ln := listenLocal(t)
+	c := dial(t, ln.Addr().String())
+	s, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.SetReadDeadline(time.Unix(1, 0))
+	if waiting(s) {
+		t.Error("input before any was sent")
+	}
+	c.send("mn\r\n")
+	for end := time.Now().Add(wait); !waiting(s); {
+		if time.Now().After(end) {
+			t.Fatal("the input does not show")
+		}
+	}
+	if _, err := s.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read: %v", err)
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -36,7 +36,10 @@
 	later      []func() // what a Host method has caused: the Balancer must not be called from within its call
 	reqs       map[uint32]*request
 	lastID     uint32
-	held       int // bytes of the values of requests in hand
+	open       map[string]*request // those that are not answered, by their client's id
+	classes    map[string]decide.Class
+	held       budget // bytes of the values of requests in hand
+	queued     budget // bytes of answers that no client has taken yet
 	targets    map[uint32]*target
 	ready      atomic.Bool // a list is held
 }
@@ -47,7 +50,8 @@
 	cmd   command
 	until float64
 	slot  *slot
-	over  bool // has its final answer, or its client has gone
+	due   *timer // the last moment for an answer
+	over  bool   // has its final answer, or its client has gone
 	tries []*attempt
 	out   int
 }
@@ -60,6 +64,7 @@
 	at     float64
 	over   bool // has its outcome; what comes later is nobody's
 	stop   context.CancelFunc
+	due    *timer
 	phase  atomic.Int32
 }
 
@@ -70,9 +75,23 @@
 	phaseOff            // and will never be written
 )
 
-// maxHeld bounds the bytes of the values of requests in hand. A write is in memory up to three times, as it came and as
-// it goes out.
-const maxHeld = 16 << 20
+// budget bounds the bytes that are kept for one purpose.
+type budget struct {
+	used  atomic.Int64
+	limit int64
+}
+
+// take takes n bytes if there is room.
+func (b *budget) take(n int) bool {
+	if b.used.Add(int64(n)) <= b.limit {
+		return true
+	}
+	b.give(n)
+	return false
+}
+
+func (b *budget) add(n int)  { b.used.Add(int64(n)) }
+func (b *budget) give(n int) { b.used.Add(-int64(n)) }
 
 // grace after a client's deadline within which the answer to a time-out at the deadline comes.
 const grace = 15
@@ -80,7 +99,13 @@
 func newLoop(cfg *Config, up *upstreams) (*loop, error) {
 	s := cfg.settings.Config
 	l := &loop{clock: clock{time.Now()}, up: up, copies: s.Copies, originKind: s.OriginKind, maxTry: s.MaxAttempts, events: make(chan func(), 1024),
-		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}}
+		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{},
+		classes: map[string]decide.Class{}}
+	for _, c := range s.Classes {
+		l.classes[c.Name] = c
+	}
+	// A value is in memory up to three times, as it came and as it goes out.
+	l.held.limit, l.queued.limit = cfg.Limits.MemoryMB<<20/16, cfg.Limits.MemoryMB<<20/8
 	var err error
 	l.b, err = decide.New(s, cfg.seed, l)
 	return l, err
@@ -113,7 +138,7 @@
 		}
 		l.settle()
 		for len(l.timers) > 0 && l.timers[0].at <= l.now() {
-			heap.Pop(&l.timers).(timer).do()
+			heap.Pop(&l.timers).(*timer).do()
 			l.settle()
 		}
 	}
@@ -128,38 +153,58 @@
 	}
 }
 
+// check tells what is wrong with a command for this deployment. It may be called from any goroutine.
+func (l *loop) check(cmd *command) error {
+	if cmd.verb != "mg" && cmd.verb != "ms" {
+		return nil
+	}
+	c, ok := l.classes[cmd.class]
+	switch {
+	case !ok:
+		return malformed("class %.40q", cmd.class)
+	case c.Effect == decide.Keyed && cmd.idem == "":
+		return malformed("class %s takes k", cmd.class)
+	}
+	return nil
+}
+
+// room takes the bytes that a request's value needs, and tells whether there are any. It may be called from any
+// goroutine.
+func (l *loop) room(cmd *command) bool {
+	return l.queued.used.Load() < l.queued.limit && l.held.take(cmd.length)
+}
+
 // arrive takes a request of a client that was read at the given time.
 func (l *loop) arrive(cmd command, read float64, s *slot) {
-	if l.held+len(cmd.value) > maxHeld { // many large writes at once must not cost the router its life
-		s.answer <- refused(0)
+	if l.open[cmd.id] != nil { // cache servers would take the one for the other
+		l.held.give(cmd.length)
+		s.answer([]byte("CLIENT_ERROR the id of an open request\r\n"))
 		return
 	}
-	l.held += len(cmd.value)
 	for l.lastID++; l.reqs[l.lastID] != nil; l.lastID++ { // ids are reused after 2^32 requests
 	}
 	now := l.now()
-	left := max(0, cmd.wait-(now-read))
+	// No client waits longer than its class allows: nor does the record of one that says so.
+	left := max(0, min(cmd.wait, l.classes[cmd.class].Deadline)-(now-read))
 	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s}
-	l.reqs[r.id], s.id = r, r.id
-	l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
-		if !r.over {
-			log.Printf("request %s: no answer by its deadline", r.cmd.id)
-			l.Fail(r.id)
-			l.b.Gone(l.now(), r.id)
-		}
+	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
+	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
+		log.Printf("request %s: no answer by its deadline", r.cmd.id)
+		l.Fail(r.id)
+		l.b.Gone(l.now(), r.id)
 	})
 	l.b.Request(now, decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: keyID(cmd.key), HasKey: true,
 		Left: left, Hint: cmd.hint, Size: cmd.size, Retry: cmd.retry, Write: cmd.verb == "ms"})
 }
 
 // gone tells that the client of a request has left.
-func (l *loop) gone(id uint32, s *slot) {
-	r := l.reqs[id]
-	if r == nil || r.over || r.slot != s {
+func (l *loop) gone(s *slot) {
+	r := s.req
+	if r == nil || r.over {
 		return
 	}
 	l.finish(r, nil)
-	l.b.Gone(l.now(), id)
+	l.b.Gone(l.now(), r.id)
 	for _, a := range r.tries { // where the Balancer cancels nothing, nobody waits all the same
 		a.cancel(l)
 	}
@@ -171,7 +216,10 @@
 		return
 	}
 	r.over = true
-	r.slot.answer <- answer // of capacity 1, and this is the only send
+	r.slot.answer(answer)
+	r.slot.req, r.slot = nil, nil
+	l.timers.stop(r.due)
+	delete(l.open, r.cmd.id)
 	l.forget(r)
 }
 
@@ -179,7 +227,7 @@
 func (l *loop) forget(r *request) {
 	if r.over && r.out == 0 && l.reqs[r.id] == r {
 		delete(l.reqs, r.id)
-		l.held -= len(r.cmd.value)
+		l.held.give(r.cmd.length)
 	}
 }
 
@@ -190,6 +238,7 @@
 	}
 	a.over = true
 	a.stop()
+	l.timers.stop(a.due)
 	r := a.r
 	r.out--
 	if got.status == decide.OK {
@@ -238,6 +287,9 @@
 		}
 		entries, named[d.ID] = append(entries, d), true
 		t := l.targets[d.ID]
+		if t == nil && d.State == decide.Ready {
+			entries = append(entries, l.replaced(d, e.Addr)...)
+		}
 		switch {
 		case d.State == decide.Gone:
 			l.drop(d.ID)
@@ -263,6 +315,18 @@
 	}
 }
 
+// replaced is the end of the servers that were at the address of a new one: it has come in their place, though the news
+// of their end may be late, and what is meant for them would reach it, cold as it is.
+func (l *loop) replaced(by decide.Entry, addr string) (gone []decide.Entry) {
+	for old, t := range l.targets {
+		if t.addr == addr && by.Started > t.started {
+			l.drop(old)
+			gone = append(gone, decide.Entry{ID: old, State: decide.Gone})
+		}
+	}
+	return gone
+}
+
 // follow hears d from now on, and no discovery before it. The list that is held stays until d gives a whole one.
 func (l *loop) follow(d *discovery) {
 	if l.disc != nil {
@@ -300,7 +364,7 @@
 		l.later = append(l.later, func() { l.outcome(a, ends(decide.Ignored)) })
 		return
 	}
-	l.after(left, func() { l.timeOut(a) })
+	a.due = l.after(left, func() { l.timeOut(a) })
 	go func() {
 		defer stop()
 		got := l.up.attempt(ctx, t, &r.cmd, left, func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) })
@@ -376,26 +440,43 @@
 type timer struct {
 	at float64
 	do func()
+	i  int // its place in the heap; -1 = it is not there
 }
 
-func (l *loop) after(ms float64, do func()) {
+func (l *loop) after(ms float64, do func()) *timer {
 	if !(ms > 0) {
 		ms = 0
 	}
-	heap.Push(&l.timers, timer{l.now() + min(ms, math.MaxInt32), do})
+	t := &timer{at: l.now() + min(ms, math.MaxInt32), do: do}
+	heap.Push(&l.timers, t)
+	return t
 }
 
 // timerHeap holds timers, the next one first.
-type timerHeap []timer
+type timerHeap []*timer
+
+// stop takes a timer out, with all that it holds: waiting until it is due would keep each request for seconds.
+func (h *timerHeap) stop(t *timer) {
+	if t != nil && t.i >= 0 {
+		heap.Remove(h, t.i)
+	}
+}
 
 func (h timerHeap) Len() int           { return len(h) }
 func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].i, h[j].i = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.i = len(*h)
+	*h = append(*h, t)
+}
 func (h *timerHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1], last.i = nil, -1
 	*h = old[:len(old)-1]
 	return last
 }
--- a/internal/router/meta.go
+++ b/internal/router/meta.go
@@ -21,6 +21,8 @@
 	maxLine  = 4096     // of a command or an answer
 	maxKey   = 250      // memcache's own limit
 	maxValue = 64 << 10 // of the protocol
+	maxID    = 64
+	maxFacts = 32
 )
 
 // errMalformed is the root of all errors about what a peer has sent.
@@ -32,15 +34,16 @@
 
 // command is a request of a client.
 type command struct {
-	verb  string // "mg", "ms", or another of one word
-	key   string
-	id    string // opaque, O
-	facts string // P, as it came
-	value []byte // ms
+	verb   string // "mg", "ms", or another of one word
+	key    string
+	id     string // opaque, O
+	facts  string // P, as it came
+	length int    // ms: of the value,
+	value  []byte // which is read last
 
-	class, tenant    string
-	wait, hint, size float64 // ms, ms, bytes
-	retry            bool
+	class, tenant, idem string
+	wait, hint, size    float64 // ms, ms, bytes
+	retry               bool
 }
 
 // readLine returns a line without its end, valid until the next read. The reader's buffer bounds it.
@@ -52,7 +55,10 @@
 	if err != nil {
 		return nil, err
 	}
-	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+	if !bytes.HasSuffix(line, []byte("\r\n")) {
+		return nil, malformed("line without its end")
+	}
+	line = line[:len(line)-2]
 	for _, b := range line {
 		if b < ' ' || b > '~' { // also keeps what is passed on in HTTP headers free of line ends
 			return nil, malformed("byte %#x in a line", b)
@@ -61,23 +67,39 @@
 	return line, nil
 }
 
-// readValue reads a value of n bytes and the line end behind it.
-func readValue(r *bufio.Reader, length string) ([]byte, error) {
-	n, err := strconv.ParseUint(length, 10, 31)
+// readLength reads the length of a value.
+func readLength(text string) (int, error) {
+	n, err := strconv.ParseUint(text, 10, 31)
 	if err != nil || n > maxValue {
-		return nil, malformed("value length %q", length)
+		return 0, malformed("value length %.40q", text)
+	}
+	return int(n), nil
+}
+
+// readValue reads a value of n bytes and the line end behind it; one that is not wanted is passed over.
+func readValue(r *bufio.Reader, n int, unwanted bool) (v []byte, err error) {
+	if unwanted {
+		_, err = r.Discard(n)
+	} else {
+		v = make([]byte, n)
+		_, err = io.ReadFull(r, v)
 	}
-	v := make([]byte, n+2)
-	if _, err := io.ReadFull(r, v); err != nil {
+	if err != nil {
 		return nil, err
 	}
-	if v[n] != '\r' || v[n+1] != '\n' {
+	end, err := r.Peek(2)
+	if len(end) > 0 && end[0] != '\r' || len(end) > 1 && end[1] != '\n' {
 		return nil, malformed("value without its end")
 	}
-	return v[:n], nil
+	if err != nil {
+		return nil, err
+	}
+	r.Discard(2) //nolint:errcheck // it is buffered
+	return v, nil
 }
 
-// readCommand reads one command with its value.
+// readCommand reads one command but for its value. It takes the one form that routers pass on and nothing beside it, as
+// what a cache server can't read costs it a connection, with all that waits there.
 func readCommand(r *bufio.Reader) (command, error) {
 	line, err := readLine(r)
 	if err != nil {
@@ -88,29 +110,28 @@
 		return command{}, malformed("empty command")
 	}
 	c := command{verb: parts[0]}
-	flags := parts[1:]
 	if c.verb != "mg" && c.verb != "ms" {
 		return c, nil
 	}
-	if len(flags) == 0 || len(flags[0]) > maxKey {
-		return c, malformed("%s without a key of up to %d bytes", c.verb, maxKey)
+	if len(parts) != 5 || len(parts[1]) > maxKey {
+		return c, malformed("%s takes a key of up to %d bytes, %s, O and P", c.verb, maxKey, map[string]string{"mg": "v", "ms": "a length"}[c.verb])
 	}
-	c.key, flags = flags[0], flags[1:]
+	c.key = parts[1]
 	if c.verb == "ms" {
-		if len(flags) == 0 {
-			return c, malformed("ms without a length")
-		}
-		if c.value, err = readValue(r, flags[0]); err != nil {
+		if c.length, err = readLength(parts[2]); err != nil {
 			return c, err
 		}
-		flags = flags[1:]
+	} else if parts[2] != "v" {
+		return c, malformed("mg without v")
 	}
-	for _, f := range flags {
-		switch f[0] {
-		case 'O':
+	for _, f := range parts[3:] {
+		switch {
+		case f[0] == 'O' && c.id == "" && len(f) > 1 && len(f) <= 1+maxID:
 			c.id = f[1:]
-		case 'P':
+		case f[0] == 'P' && c.facts == "":
 			c.facts = f[1:]
+		default:
+			return c, malformed("flag %.40q", f)
 		}
 	}
 	if c.id == "" {
@@ -122,16 +143,25 @@
 // readFacts reads the list of names and values; unknown names are passed over.
 func (c *command) readFacts() error {
 	c.wait = -1
+	var names []string
 	for f := range strings.SplitSeq(c.facts, ",") {
-		name, v, _ := strings.Cut(f, "=")
+		name, v, found := strings.Cut(f, "=")
+		if !found || name == "" || v == "" || slices.Contains(names, name) || len(names) == maxFacts {
+			return malformed("fact %.40q", f)
+		}
+		names = append(names, name)
 		var at *float64
 		switch name {
 		case "c":
 			c.class = v
 		case "t":
 			c.tenant = v
+		case "k":
+			c.idem = v
 		case "r":
-			c.retry = v == "1"
+			if c.retry = v == "1"; !c.retry && v != "0" {
+				return malformed("fact %.40q", f)
+			}
 		case "d":
 			at = &c.wait
 		case "h":
@@ -142,9 +172,9 @@
 		if at == nil {
 			continue
 		}
-		n, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(n >= 0) || n > math.MaxUint32 {
-			return malformed("%s=%q", name, v)
+		n, err := decimal(v)
+		if err != nil {
+			return err
 		}
 		*at = n
 	}
@@ -155,6 +185,16 @@
 	return nil
 }
 
+// decimal reads a number in plain digits, perhaps with a fraction: what the library takes besides (signs, exponents,
+// hexadecimal, words) is no form of the protocol.
+func decimal(text string) (float64, error) {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || n > math.MaxUint32 || strings.Trim(text, "0123456789.") != "" || len(text) > 20 {
+		return 0, malformed("number %.40q", text)
+	}
+	return n, nil
+}
+
 // append writes the command as a cache server gets it: as it came, but for the time that the router will wait.
 func (c *command) append(b []byte, wait float64) []byte {
 	b = append(append(append(b, c.verb...), ' '), c.key...)
@@ -243,7 +283,10 @@
 	switch {
 	case kind == "VA" && c.verb == "mg":
 		if id, err = answerID(flags[1:]); err == nil && id == c.id { // else its value is nobody's, and not read
-			a.body, err = readValue(r, flags[0])
+			var n int
+			if n, err = readLength(flags[0]); err == nil {
+				a.body, err = readValue(r, n, false)
+			}
 		}
 		if err != nil {
 			return a, err
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,7 +19,9 @@
 	defer ln.Close()
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	sockets := cfg.Limits.Sockets - fdReserve
-	up := newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), sockets*2/5)
+	// Each attempt may hold a value of full length: all together a quarter of the memory.
+	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/maxValue))
+	up := newUpstreams(ms(cfg.settings.Config.ConnIdle), ms(cfg.settings.ConnectTimeout), attempts)
 	l, err := newLoop(cfg, up)
 	if err != nil {
 		return err
@@ -34,7 +36,7 @@
 	wg.Go(func() { up.sweep(work) })
 	l.post(func() { l.list(decide.Remembered, cfg.Known) })
 	wg.Go(func() { l.discover(work, cfg, updates) })
-	s := newClients(l, ln, sockets*3/5)
+	s := newClients(l, ln, sockets*11/20)
 	s.wg.Go(s.accept) // so that drain waits for a connection that is just being taken
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -595,6 +595,10 @@
 	for _, in := range []string{
 		"\r\n", "mg\r\n", "mg k v\r\n", "mg k v Oa1 Pc=read,d=x\r\n", "mg k v Oa1 Pc=read,d=-1\r\n", "mg k v Oa1 Pc=read,d=NaN\r\n",
 		"mg k v Oa1\r\n", "ms k\r\n", "ms k -3 Oa1 Pc=put,d=9\r\n", "ms k 70000 Oa1 Pc=put,d=9\r\n", "ms k 2 Oa1 Pc=put,d=9\r\nabcdef\r\n",
+		"mg k v Oa1 Pc=unheard,d=9\r\n", "mg k v Oa1 Pc=read,d=0x10\r\n", "mg k v Oa1 Pc=read,d=1e3\r\n", "mg k v Oa1 Pc=read,d=+9\r\n",
+		"mg k v Oa1 Pc=read,d=9,d=8\r\n", "mg k v Oa1 Ob2 Pc=read,d=9\r\n", "mg k Oa1 Pc=read,d=9\r\n", "mg k v Pc=read,d=9\r\n",
+		"mg k v Oa1 Pc=read,d=9 Q\r\n", "mg k v Oa1 Pc=read,d=9\n", "mg k v Oa1 Pc=read,d=9,r=yes\r\n", "mg k v O Pc=read,d=9\r\n",
+		"ms k 62914560 Oa1 Pc=put,d=9,k=1\r\n", "ms k 2 Oa1 Pc=put,d=9\r\nab\r\n", "ms k 0x2 Oa1 Pc=put,d=9,k=1\r\nab\r\n",
 		"mg " + strings.Repeat("k", 300) + " v Oa1 Pc=read,d=9\r\n", "mg k\x00 v Oa1 Pc=read,d=9\r\n", strings.Repeat("x", 5000),
 	} {
 		c := dial(t, r.addr)
@@ -609,9 +613,6 @@
 			t.Errorf("%.20q: then %q", in, got)
 		}
 	}
-	if got := dial(t, r.addr).ask("mg k v Oa1 Pc=unheard,d=9"); got != "SERVER_ERROR failed" {
-		t.Errorf("unknown class: got %q", got)
-	}
 }
 
 // More clients than there are sockets for: idle connections make room, and all are served.
@@ -678,8 +679,12 @@
 
 func TestCommandIsRead(t *testing.T) {
 	in := "ms 7f3a9c21e0b4d655 3 Oa1 Pc=put,t=acme,d=480.5,k=7,r=1,h=52000,size=3,zz=1\r\nabc\r\n"
-	got, err := readCommand(bufio.NewReaderSize(strings.NewReader(in), maxLine))
-	want := command{verb: "ms", key: "7f3a9c21e0b4d655", id: "a1", facts: "c=put,t=acme,d=480.5,k=7,r=1,h=52000,size=3,zz=1",
+	r := bufio.NewReaderSize(strings.NewReader(in), maxLine)
+	got, err := readCommand(r)
+	if err == nil {
+		got.value, err = readValue(r, got.length, false)
+	}
+	want := command{verb: "ms", length: 3, idem: "7", key: "7f3a9c21e0b4d655", id: "a1", facts: "c=put,t=acme,d=480.5,k=7,r=1,h=52000,size=3,zz=1",
 		value: []byte("abc"), class: "put", tenant: "acme", wait: 480.5, hint: 52, size: 3, retry: true} // h is in microseconds
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v", got, err)
@@ -691,11 +696,19 @@
 	f.Add([]byte(bill("a1", 480) + "\r\n"))
 	f.Add([]byte("ms k 99999999999999999999 O P\r\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		c, err := readCommand(bufio.NewReaderSize(bytes.NewReader(in), maxLine))
+		read := func(in []byte) (command, error) {
+			r := bufio.NewReaderSize(bytes.NewReader(in), 2*maxLine)
+			c, err := readCommand(r)
+			if err == nil && c.verb == "ms" {
+				c.value, err = readValue(r, c.length, false)
+			}
+			return c, err
+		}
+		c, err := read(in)
 		if err != nil || c.verb != "mg" && c.verb != "ms" {
 			return
 		}
-		again, err := readCommand(bufio.NewReaderSize(bytes.NewReader(c.append(nil, c.wait)), 2*maxLine))
+		again, err := read(c.append(nil, c.wait))
 		if err != nil || again.key != c.key || again.id != c.id || !bytes.Equal(again.value, c.value) {
 			t.Errorf("%q came back as %+v, %v", in, again, err)
 		}
@@ -778,27 +791,3 @@
 		t.Errorf("closed after %v", took)
 	}
 }
-
-// Values in hand are bounded: a write beyond that is refused, and has not run.
-func TestHeldValuesAreBounded(t *testing.T) {
-	o := startFake(t, originOK)
-	l, err := newLoop(testConfig(t, "127.0.0.1:1", list{}), newUpstreams(time.Second, time.Second, 10))
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.ctx = t.Context()
-	l.targets[0x63] = l.up.add(o.addr, true)
-	l.held = maxHeld - 1
-	cmd := *putCommand()
-	sl := &slot{answer: make(chan []byte, 1)}
-	l.arrive(cmd, l.now(), sl)
-	if got := string(next(t, sl.answer, "answer")); got != "SERVER_ERROR busy\r\n" || len(l.reqs) > 0 || l.held != maxHeld-1 {
-		t.Errorf("got %q, %d requests, %d bytes", got, len(l.reqs), l.held)
-	}
-	l.held = 0
-	cmd.class = "unheard" // the module fails it at once
-	l.arrive(cmd, l.now(), sl)
-	if got := string(next(t, sl.answer, "answer")); got != "SERVER_ERROR failed\r\n" || l.held != 0 {
-		t.Errorf("got %q, %d bytes are still held", got, l.held)
-	}
-}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -160,24 +160,36 @@
 // quiet reports whether an idle connection is open and has nothing to read: an end, a reset or a stray answer makes
 // it useless, and a request written to it would end as a reset.
 func (c *upstreamConn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 {
 		return false
 	}
+	_, err := peek(c.Conn)
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+}
+
+// waiting reports whether there is something to read on a connection.
+func waiting(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek looks for input on a connection without taking it or waiting for it.
+func peek(c net.Conn) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, fmt.Errorf("peeking: %w", err)
 	}
-	var peek error
-	err = raw.Read(func(fd uintptr) bool {
+	if ctl := raw.Control(func(fd uintptr) { // not Read, which fails once the time for reading is up
 		var b [1]byte
-		var n int
-		if n, _, peek = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); n >= 0 && peek == nil {
-			peek = io.EOF
-		}
-		return true
-	})
-	return err == nil && (errors.Is(peek, syscall.EAGAIN) || errors.Is(peek, syscall.EINTR))
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); ctl != nil {
+		return 0, fmt.Errorf("peeking: %w", ctl)
+	}
+	return n, err
 }
 
 // originRest is how long a connection to the origin rests after an answer. Answers in HTTP carry no id: a second copy
