Bring ejected servers back by trials at their own keys; one reset ejects nobody

A probe of the module's view each second (taken out again): 2 to 6 of 10 servers out at a time, some for 40 s though they answered others; sockets show 20 resets in 5 s, each of a single connection. Ruled out: the origin (latency at its floor, bound on fetches at 25 to 40, 10 out), CPU (0.17 of a core), descriptors (195 of 256). At fault: observe put a server out for one reset, and usable allowed a trial only to a request that had looked past its drawn server, so without a queue none ever came.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,10 +58,10 @@
 		return // it answers others: this waited in line or for a fetch, and moving keys would add fetches
 	}
 	if !ok {
-		if s.accept *= 0.88; st == Spoilt { // on any way alike: one that spoils most still goes out
-			s.accept *= 1.07
-		} // over eight outcomes: a server that fails fast must look expensive, not idle
-		if s.ejected || s.accept < minAccept || st == Reset || s.strikes >= maxStrike {
+		if s.accept *= 0.88; st == Spoilt { // over eight outcomes: who fails fast must look expensive
+			s.accept *= 1.07 // on the way, from any alike: one that spoils most still goes out
+		}
+		if s.ejected || s.accept < minAccept || s.strikes >= maxStrike { // one reset is a connection's end
 			b.eject(s, st == TimedOut)
 		}
 		return
@@ -80,6 +80,9 @@
 	}
 	s.pause = min(8*minPause, max(minPause, 2*s.pause))
 	s.trial = b.now + s.pause*(0.75+0.5*b.rng.Float64()) // or all routers try at once
+	if s.overdue = s.trial; silent {                     // a trial costs a request its time
+		s.overdue += 8000
+	}
 	s.ejected, b.dirty = true, b.dirty || !s.ejected
 }
 
@@ -148,29 +151,6 @@
 	return slices.DeleteFunc(slices.Clone(b.list(k)), func(s *server) bool { return !b.usable(s, nil) })
 }
 
-// delay gives λT(λ), the requests waiting at an M/G/m server by equations (2) to (5), and its two
-// derivatives. n channels serve mu a second each; c2 is X²/X̄².
-func delay(lam float64, n int, mu, c2 float64) (f, d, h float64) {
-	m := float64(n)
-	over := max(0, lam-0.98*m*mu) // λ_j < n_j·μ_o: past the guard a parabola keeps all finite
-	a := max((lam-over)/mu, 1e-9)
-	rho, e := a/m, 1.0
-	for k := 1.0; k <= m; k++ {
-		e = a * e / (k + a*e) // Erlang B
-	}
-	e1 := e * (m/a - 1 + e)
-	e2 := e1*(m/a-1+e) + e*(e1-m/(a*a))
-	q, q1, q2 := 1-rho*(1-e), rho*e1-(1-e)/m, 2*e1/m+rho*e2
-	p := e / q // equation (2)
-	p1 := (e1 - p*q1) / q
-	p2 := (e2 - 2*p1*q1 - p*q2) / q
-	g, k := 1/(1-rho), c2/2
-	f = k * rho * g * p
-	d = k * (g*g*p/m + rho*g*p1) / mu
-	h = k * (2*g*g*g*p/(m*m) + 2*g*g*p1/m + rho*g*p2) / (mu * mu)
-	return f + over*(d+over*h/2), d + over*h, h
-}
-
 // balance moves the rates x over the servers by the procedure of Table 1 and returns F.
 func (b *Balancer) balance(v []*server, x []float64) float64 {
 	var d, h [listLen]float64
@@ -277,6 +257,13 @@
 	if c := b.candidates(r.key); len(c) > 0 {
 		drawn = c[0]
 	}
+	home := drawn
+	if len(r.key.list) > 0 {
+		home = r.key.list[0]
+	}
+	if home != drawn && home.ejected && b.now >= home.overdue && len(r.tries) == 0 && b.usable(home, r) {
+		return home // its trial: where no queue makes a request look further, it would stay out for good
+	}
 	for j, u := 0, b.rng.Float64(); j < len(r.key.v) && u >= 0; j++ {
 		drawn, u = r.key.v[j], u-r.key.p[j]
 	}
@@ -409,9 +396,7 @@
 			a.s.lat.see(b.now, took, min(0.5, 0.2*r.work))
 		}
 	}
-	if a.s == b.origin && o.Status == Spoilt { // the origin did its work, and its answer was stored
-		b.fetched(r, OK, o.Latency)
-	} else if a.s == b.origin || asked && o.Note != 1 { // 1: it was there after all
+	if a.s == b.origin || asked && o.Note != 1 { // 1: it was there after all
 		b.fetched(r, o.Status, o.Latency)
 	}
 	if lost {
@@ -547,6 +532,9 @@
 
 // fetched moves the bound on fetches: up while answers stay quick, down when they slow or fail.
 func (b *Balancer) fetched(r *request, st Status, lat float64) {
+	if st == Spoilt { // it did its work, and its answer was stored
+		st = OK
+	}
 	if r.key.fetch == r && st == OK {
 		r.key.stored, r.key.storeAt = b.now, r.missed
 	}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -794,3 +794,35 @@
 		t.Errorf("sends %v, bound on fetches %v", h.sends, b.fetches)
 	}
 }
+
+// A server taken out comes back by a trial also where nothing queues, so that no request has to look past the others.
+func TestTrialComesWithoutAQueue(t *testing.T) {
+	b, h := start(t, testConfig(), fleet(6))
+	ask(b, 100010, 1, "read", 9)
+	home := b.servers[h.last().server]
+	b.Outcome(100015, Outcome{ID: 1, Server: home.ID, Status: OK, Latency: 5, Final: true, Load: NoLoad})
+	b.observe(home, Reset, 100020)
+	if home.ejected { // a reset is one connection's end
+		t.Fatal("out after a reset")
+	}
+	b.observe(home, Reset, 100020)
+	if !home.ejected {
+		t.Fatal("two resets do not take a server out")
+	}
+	tried := false
+	for i := range 40 {
+		id, now := uint32(100+i), 100100+float64(i)*200
+		ask(b, now, id, "read", 9)
+		s := h.last()
+		if s.server == home.ID && !tried {
+			tried = true
+			if now < home.trial {
+				t.Errorf("tried before it was due")
+			}
+		}
+		b.Outcome(now+10, Outcome{ID: id, Server: s.server, Status: OK, Latency: 10, Final: true, Load: NoLoad})
+	}
+	if !tried || home.ejected {
+		t.Errorf("tried %v, out %v", tried, home.ejected)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -71,6 +71,7 @@
 	reply        float64 // time of the last reply
 	ejected      bool
 	trial, pause float64 // ejected: when a trial is due, and the pause before it
+	overdue      float64 // and when it is, if no queue has brought one
 	probed       float64 // time of the last probe
 	fresh        float64 // start of the cold phase
 	budget       rate    // hard send budget while cold
@@ -347,3 +348,26 @@
 func (b *Balancer) warmth(s *server) float64 {
 	return min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(0, b.now-s.fresh)/max(b.cfg.Cold, 1))
 }
+
+// delay gives λT(λ), the requests waiting at an M/G/m server by equations (2) to (5), and its two
+// derivatives. n channels serve mu a second each; c2 is X²/X̄².
+func delay(lam float64, n int, mu, c2 float64) (f, d, h float64) {
+	m := float64(n)
+	over := max(0, lam-0.98*m*mu) // λ_j < n_j·μ_o: past the guard a parabola keeps all finite
+	a := max((lam-over)/mu, 1e-9)
+	rho, e := a/m, 1.0
+	for k := 1.0; k <= m; k++ {
+		e = a * e / (k + a*e) // Erlang B
+	}
+	e1 := e * (m/a - 1 + e)
+	e2 := e1*(m/a-1+e) + e*(e1-m/(a*a))
+	q, q1, q2 := 1-rho*(1-e), rho*e1-(1-e)/m, 2*e1/m+rho*e2
+	p := e / q // equation (2)
+	p1 := (e1 - p*q1) / q
+	p2 := (e2 - 2*p1*q1 - p*q2) / q
+	g, k := 1/(1-rho), c2/2
+	f = k * rho * g * p
+	d = k * (g*g*p/m + rho*g*p1) / mu
+	h = k * (2*g*g*g*p/(m*m) + 2*g*g*p1/m + rho*g*p2) / (mu * mu)
+	return f + over*(d+over*h/2), d + over*h, h
+}
