--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -19,7 +19,7 @@
 	maxUnknown   = 4                      // commands of a connection that the router does not know
 	firstTime    = 2 * time.Second        // for the first command to come whole
 	commandTime  = 2 * time.Second        // for a later one to come whole once it has begun
-	idleTime     = 10 * time.Second       // for the next one to begin
+	idleTime     = 3 * time.Second        // for the next one to begin
 	answerTime   = 5 * time.Second        // for a client to take its answers
 	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
 	lingerBytes  = 256 << 10              // of its input that are read meanwhile
