Let idle clients that have asked give way beyond half of the places

Probes (taken out again): budgets and parser turned nobody away; a router had 128 idle connections that had asked, a third of the descriptors, all that clients may hold, and got 60 of 250 requests a second. Clients ask once and keep the connection; at fault: idleTime in client.go alone ended those, and eviction preferred silent ones while places were short. Now the longest idle goes when a connection asks for the first time and more than half of the places have asked.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -20,6 +20,7 @@
 	firstTime    = 2 * time.Second        // for the first command to come whole
 	commandTime  = 2 * time.Second        // for a later one to come whole once it has begun
 	idleTime     = 3 * time.Second        // for the next one to begin
+	rest         = 100 * time.Millisecond // a connection that has just been answered is kept for
 	answerTime   = 5 * time.Second        // for a client to take its answers
 	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
 	lingerBytes  = 256 << 10              // of its input that are read meanwhile
@@ -42,6 +43,7 @@
 	room     chan struct{} // a place for each connection that may be open
 	readers  sync.Pool     // of *bufio.Reader: bad clients come and go by hundreds
 	draining atomic.Bool
+	asked    atomic.Int64 // connections that have asked
 	wg       sync.WaitGroup
 
 	mu    sync.Mutex
@@ -52,8 +54,9 @@
 // them in the order of the commands.
 type clientConn struct {
 	net.Conn
-	s *clients
-	r *bufio.Reader
+	s       *clients
+	r       *bufio.Reader
+	counted atomic.Bool // among those that have asked
 
 	mu      sync.Mutex
 	changed sync.Cond // the queue got shorter
@@ -100,7 +103,7 @@
 			return
 		default:
 		}
-		s.evict()
+		s.evict(false)
 		select {
 		case s.room <- struct{}{}:
 			return
@@ -109,13 +112,18 @@
 	}
 }
 
-// evict ends the connection that has been idle for longest.
-func (s *clients) evict() {
+// evict ends the connection that has been idle for longest. With asked set, only those that have asked and since rested
+// for a moment count.
+func (s *clients) evict(asked bool) {
 	var oldest *clientConn
 	var since time.Time
 	s.mu.Lock()
 	for c := range s.conns {
-		if at, idle := c.idle(); idle && (oldest == nil || at.Before(since)) {
+		at, idle := c.idle()
+		if asked && (!c.counted.Load() || time.Since(at) < rest) {
+			continue
+		}
+		if idle && (oldest == nil || at.Before(since)) {
 			oldest, since = c, at
 		}
 	}
@@ -125,6 +133,15 @@
 	}
 }
 
+// crowd counts a connection that has asked for the first time. Where many ask once and keep their connection, its end by
+// time comes too late: they would hold all that clients may have, and the next requests had none.
+func (s *clients) crowd(c *clientConn) {
+	c.counted.Store(true)
+	if s.asked.Add(1) > int64(cap(s.room)/2) {
+		s.evict(true)
+	}
+}
+
 func (s *clients) serve(nc net.Conn) {
 	r := s.readers.Get().(*bufio.Reader)
 	r.Reset(nc)
@@ -137,6 +154,9 @@
 	s.wg.Go(func() {
 		turnedAway := c.read()
 		c.finish(turnedAway)
+		if c.counted.Load() {
+			s.asked.Add(-1)
+		}
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
@@ -256,6 +276,9 @@
 				return true
 			}
 		}
+		if first {
+			c.s.crowd(c)
+		}
 		if !c.await() {
 			return c.unread(os.ErrDeadlineExceeded)
 		}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -262,3 +262,27 @@
 		t.Errorf("read: %v", err)
 	}
 }
+
+// Clients that ask once and keep their connections don't hold more than half of the places, long before time ends them:
+// the one that has been idle for longest goes when another has asked.
+func TestClientsThatAskOnceGiveWay(t *testing.T) {
+	s := startFake(t, hit)
+	_, addr := parts(t, 192, 8, box("s-0000000b", s.addr), originAt(s.addr))
+	began := time.Now()
+	var kept []*client
+	for i := range 5 {
+		c := dial(t, addr)
+		c.ask(read(fmt.Sprint("a", i), 2000))
+		kept = append(kept, c)
+		time.Sleep(rest + 20*time.Millisecond) // time itself is what counts
+	}
+	if got := kept[0].line(); got != "EOF" {
+		t.Errorf("got %q", got)
+	}
+	if took := time.Since(began); took > idleTime {
+		t.Errorf("only after %v, by time", took)
+	}
+	if got := kept[4].ask(read("b", 2000)); got != "VA 5 Ob hello" {
+		t.Errorf("the last one got %q", got)
+	}
+}
