Ask again where a value is kept when its answer is cut off; make a fetch again when its connection ends

Seen with the probe: 5 to 22 reads a second of 330 refused because the connection of their one origin attempt ended, and each end at a cache server moved the read to a server without the key: a second fetch. At fault: ended gave up at any failure of the origin; attempt called an answer that broke off a reset, as if the server had died. Now a read that was cut off goes back to where it is kept while that server is not suspected, a fetch takes a place again (both draw on spare), and an answer that broke off counts as spoilt. Harm: a dead server costs a read a second attempt.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -127,21 +127,6 @@
 	}
 }
 
-// buildTable fills the buckets of the memento-hash. A bucket that no listed server claims counts as removed:
-// the table follows from ids alone, not from an order of changes, and few keys move.
-func (b *Balancer) buildTable() {
-	b.epoch++
-	b.table = make([]*server, 1<<tableBits)
-	for _, s := range b.order {
-		for i := range claims {
-			slot := mix(uint64(s.ID)<<8|uint64(i)) >> (64 - tableBits)
-			if o := b.table[slot]; o == nil || mix(slot^uint64(s.ID)<<16) < mix(slot^uint64(o.ID)<<16) {
-				b.table[slot] = s
-			}
-		}
-	}
-}
-
 // list gives the first distinct servers of a key. Keys of a removed bucket are drawn again over the table.
 func (b *Balancer) list(k *flow) []*server {
 	if k.epoch != b.epoch {
@@ -424,15 +409,21 @@
 		}
 		r.key.stored, r.key.storeAt = b.now, a.s
 	}
-	spoilt := o.Status == Spoilt && !r.Write // asked for again where it is kept: it takes no fetch
+	// A read whose answer was spoilt, or whose connection ended at a server not thought sick, is asked for
+	// again where it is kept: it takes no fetch. A dead server costs a second attempt, which spare bounds.
+	cut := o.Status == Reset || o.Status == ConnectError
+	spoilt := (o.Status == Spoilt || cut && a.s != b.origin && a.s.doubt < maxDoubt/2) && !r.Write
 	if spoilt && a.s != b.origin {
 		r.missed = a.s
-	} else if spoilt && r.key.fetch == r {
+	} else if (spoilt || cut) && r.key.fetch == r {
 		r.key.fetch = nil
 	}
 	switch {
 	case r.closed || o.Final:
 		b.close(r)
+	case a.s == b.origin && cut && b.spare >= 1 && b.mayRun(r, a.s): // it takes a place again
+		b.spare--
+		b.hold(r)
 	case b.now >= r.until-1 || a.s == b.origin && !spoilt || lost:
 		b.end(r)
 	case o.Status == Miss && b.cfg.Aside:
--- a/decide/state.go
+++ b/decide/state.go
@@ -189,6 +189,21 @@
 	return started
 }
 
+// buildTable fills the buckets of the memento-hash. A bucket that no listed server claims counts as removed:
+// the table follows from ids alone, not from an order of changes, and few keys move.
+func (b *Balancer) buildTable() {
+	b.epoch++
+	b.table = make([]*server, 1<<tableBits)
+	for _, s := range b.order {
+		for i := range claims {
+			slot := mix(uint64(s.ID)<<8|uint64(i)) >> (64 - tableBits)
+			if o := b.table[slot]; o == nil || mix(slot^uint64(s.ID)<<16) < mix(slot^uint64(o.ID)<<16) {
+				b.table[slot] = s
+			}
+		}
+	}
+}
+
 // rate counts with exponential forgetting: its value over the memory is a rate.
 type rate struct{ v, at float64 }
 
--- a/internal/router/health_test.go
+++ b/internal/router/health_test.go
@@ -7,18 +7,19 @@
 	"testing"
 )
 
-// flaky is a fleet whose connections end under requests, and the first server that each request came to.
+// flaky is a fleet whose connections end under requests, and the first and last servers that each request came to.
 type flaky struct {
 	mu    sync.Mutex
 	first map[string]int // by request id
-	count []int          // requests that came to each server
+	last  map[string]int
+	count []int // requests that came to each server
 	fails func(server, n int) bool
 }
 
 // startFlaky starts n servers.
 func startFlaky(t testing.TB, n int, fails func(server, n int) bool) (*flaky, []entry) {
 	t.Helper()
-	f := &flaky{first: map[string]int{}, count: make([]int, n), fails: fails}
+	f := &flaky{first: map[string]int{}, last: map[string]int{}, count: make([]int, n), fails: fails}
 	var entries []entry
 	for i := range n {
 		s := startFake(t, func(line string) string {
@@ -27,24 +28,25 @@
 			if _, seen := f.first[idOf(line)]; !seen {
 				f.first[idOf(line)] = i
 			}
+			f.last[idOf(line)] = i
 			if f.count[i]++; f.fails(i, f.count[i]) {
 				return "close"
 			}
-			return hit(line)
+			return "VA 5 O{id} h1 Lqps=3000,util=0.1\r\nhello\r\n" // far from full
 		})
 		entries = append(entries, box(fmt.Sprintf("s-%08x", 11+i), s.addr))
 	}
 	return f, entries
 }
 
-// firstOf tells to which server a request came first; -1 = to none.
-func (f *flaky) firstOf(id string) int {
+// cameTo tells to which servers a request came first and last; -1 = to none.
+func (f *flaky) cameTo(id string) (first, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at, seen := f.first[id]; seen {
-		return at
+		return at, f.last[id]
 	}
-	return -1
+	return -1, -1
 }
 
 // Connections end under one request in six to eight at every server alike, also two in a row: the keys stay where they are kept,
@@ -57,29 +59,33 @@
 	r, _ := serving(t, append(entries, originAt(startFake(t, originOK).addr))...)
 	c := dial(t, r.addr)
 	home := map[int]int{}
-	ask := func(i int) (key, at int) {
+	ask := func(i int) (key, first, last int) {
 		key = i % 30
 		id := fmt.Sprintf("%x", 1000+i)
 		got := c.ask(fmt.Sprintf("mg %016x v O%s Pc=read,t=t,d=2000,h=52000,size=5", 7919*(key+1), id))
 		if !strings.HasPrefix(got, "VA 5 O"+id) && got != "SERVER_ERROR busy" { // three ends for one request happen
 			t.Fatalf("request %d: got %q", i, got)
 		}
-		return key, f.firstOf(id)
+		first, last = f.cameTo(id)
+		return key, first, last
 	}
 	for i := range 600 {
-		key, at := ask(i)
+		key, at, last := ask(i)
 		if _, known := home[key]; !known && at >= 0 {
 			home[key] = at
 		}
 		if at >= 0 && at != home[key] {
 			t.Fatalf("request %d of key %d went to server %d first, not to %d", i, key, at, home[key])
 		}
+		if i >= 300 && last != at {
+			t.Fatalf("request %d of key %d was cut off at server %d and sent to %d, where the value is not kept", i, key, at, last)
+		}
 	}
 	f.mu.Lock()
 	dead = home[0]
 	f.mu.Unlock()
 	for i, asked := 600, 0; ; i++ {
-		key, at := ask(i)
+		key, at, _ := ask(i)
 		if home[key] != dead {
 			continue
 		}
@@ -91,3 +97,55 @@
 		}
 	}
 }
+
+// once answers the first request with the given text and later ones with then.
+func once(first string, then func(string) string) func(string) string {
+	var mu sync.Mutex
+	asked := false
+	return func(line string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if asked {
+			return then(line)
+		}
+		asked = true
+		return first
+	}
+}
+
+// Where an answer breaks off, the value is still kept where it was: there it is asked for again, and no other server
+// misses it and fetches it.
+func TestReadThatWasCutOffIsAskedForWhereItIsKept(t *testing.T) {
+	for name, cut := range map[string]string{"value": "VA 50 O{id} h1\r\nhel{cut}", "line": "VA 5{cut}"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			answer, o := once(cut, hit), startFake(t, originOK) // whichever server is the key's home is cut off
+			s1, s2 := startFake(t, answer), startFake(t, answer)
+			r, _ := serving(t, box("s-0000000b", s1.addr), box("s-0000000c", s2.addr), originAt(o.addr))
+			if got := dial(t, r.addr).ask(read("a1", 2000)); got != "VA 5 Oa1 hello" {
+				t.Errorf("got %q", got)
+			}
+			if n := [3]int{len(s1.seen), len(s2.seen), len(o.seen)}; n != [3]int{2, 0, 0} && n != [3]int{0, 2, 0} {
+				t.Errorf("asked %v times: want one server twice", n)
+			}
+		})
+	}
+}
+
+// A fetch whose connection ends is made again for a read; a write, which may have run, is not.
+func TestFetchThatWasCutOffIsMadeAgain(t *testing.T) {
+	s, o := startFake(t, miss), startFake(t, once("close", originOK))
+	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	c := dial(t, r.addr)
+	if got := c.ask(read("a1", 2000)); got != "VA 5 Oa1 fresh" {
+		t.Errorf("got %q", got)
+	}
+	if len(s.seen) != 1 || len(o.seen) != 2 {
+		t.Errorf("the server was asked %d times, the origin %d: want 1 and 2", len(s.seen), len(o.seen))
+	}
+	o = startFake(t, once("close", originOK))
+	r, _ = serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	if got := dial(t, r.addr).ask(bill("a2", 2000)); got != "SERVER_ERROR failed" || len(o.seen) != 1 {
+		t.Errorf("a write: got %q after %d attempts", got, len(o.seen))
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -293,14 +293,15 @@
 		return a
 	}
 	err = conn.begun()
-	if err == nil {
+	answered := err == nil
+	if answered {
 		a, err = read(conn.r, c)
 	}
 	u.put(t, conn, stop() && err == nil && !a.last && conn.clean())
 	switch {
-	case errors.Is(err, errMalformed): // not understood: it has run
+	case answered && err != nil: // not understood, or it broke off: it has run, and the server was at work
 		a.status = decide.Spoilt
-	case err != nil: // broken or ended after the last byte: it may have run
+	case err != nil: // ended after the last byte: it may have run
 		a.status = decide.Reset
 	}
 	return a
