Count no failed trial for what was sent before; weigh a server's first latency by its work

At fault: eject doubled the pause, and put the trial 8 s off, for each attempt still out from before (8 Canceled, 5 Reset in the log). Also seen: two servers first met by a light request at 354 and 911 ms a unit of work; one answered in 29 ms, found after 20 s. At fault: level.see takes the first sample whole, though it weighs others by their work.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -88,6 +88,9 @@
 	if silent && !s.ejected && (s.strikes < maxStrike || 2*ejected(b.order)+2 > len(b.order)) {
 		return
 	}
+	if s.ejected && b.now < s.trial { // sent before it went out: no trial has failed
+		return
+	}
 	s.pause = min(8*minPause, max(minPause, 2*s.pause))
 	s.trial = b.now + s.pause*(0.75+0.5*b.rng.Float64()) // or all routers try at once
 	if s.overdue = s.trial; silent {                     // a trial costs a request its time
@@ -405,6 +408,9 @@
 			}
 			b.x.see(o.Latency)
 			b.jam.see(b.now, o.Latency/r.work, 0.1)
+			if a.s.lat.v == 0 { // a light request tells little: the fleet's mean stands in for the rest
+				a.s.lat.see(b.now, b.x.mean+min(1, r.work)*(o.Latency/r.work-b.x.mean), 1)
+			}
 			a.s.lat.see(b.now, o.Latency/r.work, min(0.5, 0.2*r.work))
 		}
 		r.key.stored, r.key.storeAt = b.now, a.s
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -867,3 +867,54 @@
 		}
 	}
 }
+
+// What was out when a server was put out comes back failed and late: it was no trial, and the first pause stays short.
+func TestOldAttemptsAreNoFailedTrials(t *testing.T) {
+	b, _ := start(t, testConfig(), fleet(6))
+	s := b.order[2]
+	for range 2 {
+		b.observe(s, Reset, b.now)
+	}
+	if !s.ejected {
+		t.Fatal("two resets do not take a server out of a quiet fleet")
+	}
+	trial := s.trial
+	for range 10 {
+		b.observe(s, Reset, b.now)
+		b.eject(s, true)
+	}
+	if s.trial != trial || s.overdue != trial {
+		t.Errorf("trial due at %.0f (%.0f), at %.0f (%.0f) after what was sent before", trial, trial, s.trial, s.overdue)
+	}
+	b.now = trial + 1
+	if b.observe(s, Reset, b.now); s.trial <= trial+minPause {
+		t.Errorf("a failed trial is followed by another after %.0f ms", s.trial-trial)
+	}
+}
+
+// A light request takes nearly as long as any other: seen first, its latency for a unit of work made a server look
+// twenty times as slow as it is, and it was hardly used for half a minute.
+func TestFirstLatencyCountsForItsWork(t *testing.T) {
+	cfg := testConfig()
+	b, h := start(t, cfg, fleet(6))
+	hint := func(id uint32, key uint64, hint float64) *server {
+		b.Request(100000+float64(id), Request{ID: id, Class: "read", Key: key, HasKey: true, Left: 600, Hint: hint})
+		s := h.last().server
+		b.Outcome(100010+float64(id), Outcome{ID: id, Server: s, Status: OK, Latency: 10, Final: true, Load: NoLoad})
+		return b.servers[s]
+	}
+	first := hint(1, 9, 100)
+	for id := uint32(2); ; id++ { // the key of another server
+		if id == 100 {
+			t.Fatal("one server has all keys")
+		}
+		s := hint(id, uint64(id), 5)
+		if s == first {
+			continue
+		}
+		if s.lat.v > 30 {
+			t.Errorf("latency of a unit of work %.0f ms, want some 10", s.lat.v)
+		}
+		return
+	}
+}
