Test of what is kept: wait until the router has booked its last answer

The test looked as soon as the client had read its answer, while the writing goroutine gives the bytes back after the write (clientConn.write). The check is unchanged; quit's end comes after the last booking.

--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -45,6 +45,9 @@
 		}
 		c.ask(fmt.Sprintf("ms 7f3a9c21e0b4d655 3 Ow%d Pc=put,t=t,d=4000000000,k=7\r\nabc", i))
 	}
+	if got := c.ask("quit"); got != "EOF" { // comes once the router has booked all that it has written
+		t.Errorf("got %q", got)
+	}
 	own := 0
 	look(l, func() {
 		for _, tm := range l.timers {
