Test of discovery: count answers before the next call can come

One of twelve runs at once failed under the race detector: two handlers wrote the count of answers, the later one begun by the call that the first answer brought.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -757,8 +757,9 @@
 		at    time.Time
 	}
 	calls := make(chan call, 100)
-	n := 0
+	var answered atomic.Int64
 	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := int(answered.Add(1)) - 1
 		calls <- call{r.URL.RawQuery, time.Now()}
 		switch {
 		case n >= len(answers):
@@ -768,7 +769,6 @@
 		default:
 			io.WriteString(w, answers[n])
 		}
-		n++
 	}))
 	defer d.Close()
 	defer d.CloseClientConnections()
