--- a/decide/decide.go
+++ b/decide/decide.go
@@ -318,7 +318,7 @@
 		}
 	}
 	if s == b.origin { // a fetch whose answer is lost holds all that wait for the key
-		b.host.Timer(3*max(b.olat.v, 5), uint64(r.ID)<<8|uint64(len(r.tries)))
+		b.host.Timer(2*max(b.olat.v, 5), uint64(r.ID)<<8|uint64(len(r.tries)))
 	}
 	b.host.Send(r.ID, s.ID, 0)
 }
@@ -383,6 +383,9 @@
 			a.s.lat.see(b.now, took, min(0.5, 0.2*r.work))
 		}
 	}
+	if a.passed && (o.Status == OK || o.Status == Miss) {
+		b.lost -= 0.2 * b.lost // over five
+	}
 	if a.s == b.origin || asked && o.Note != 1 { // 1: it was there after all
 		b.fetched(r, o.Status, o.Latency)
 	}
@@ -439,11 +442,12 @@
 	if i >= len(r.tries) || r.tries[i].over || b.now >= r.aim && r.tries[i].s != b.origin {
 		return
 	}
-	a := r.tries[i]
+	a := &r.tries[i]
 	if a.s.reply >= a.at || a.s == b.origin {
-		// Later ones were answered: its answer is lost, or it is heavy. Harm: a heavy one is done twice.
-		may := !b.cfg.Copies && b.cfg.Cancel && r.class.Effect == Repeatable
-		if may && a.s.passed > a.at && b.spare >= 1 {
+		// Later ones were answered: it is lost, or heavy, and waited for half as long again unless most such
+		// were lost. Harm: a heavy one may be done twice, and a few must tell before losses are known.
+		may := !b.cfg.Copies && b.cfg.Cancel && r.class.Effect == Repeatable && b.spare >= 1
+		if may && a.s.passed > a.at && b.overtaken(a) {
 			if a.s != b.origin {
 				r.missed = a.s
 			}
--- a/decide/state.go
+++ b/decide/state.go
@@ -49,6 +49,7 @@
 	asked      rate    // fetches sent
 	olat       level   // latency of fetches
 	usual      float64 // share of attempts that fail at the median server
+	lost       float64 // share of overtaken attempts whose answers are lost
 	median     float64 // capacity for a unit of size, of the servers that reported one
 	sized      bool    // whether sizes are told
 	portion    float64 // own part of all traffic, as far as reports tell
@@ -121,6 +122,7 @@
 	s         *server
 	at        float64
 	over, ran bool // has its outcome; may have run
+	passed    bool // was past its patience when later ones had been answered
 }
 
 // request is a request of a client until its answer is given and its attempts are back.
@@ -307,6 +309,20 @@
 	s.doubt = max(0, s.doubt+math.Log(0.5/(1-usual)))
 }
 
+// overtaken books an attempt past its patience that later ones have overtaken, and says whether it is taken for lost:
+// the second time, or at once where most were. What was given up at once tells nothing, so the share falls a little,
+// and soon the next one is waited for.
+func (b *Balancer) overtaken(a *attempt) bool {
+	again, most := a.passed, b.lost > 0.5
+	switch a.passed = true; {
+	case again:
+		b.lost += 0.2 * (1 - b.lost)
+	case most:
+		b.lost *= 0.97
+	}
+	return again || most
+}
+
 // unit is what a server's capacity is compared by.
 func (s *server) unit(sized bool) float64 {
 	if sized && s.Size > 0 {
--- a/internal/router/health_test.go
+++ b/internal/router/health_test.go
@@ -178,6 +178,9 @@
 			d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(o.addr)))
 			cfg := testConfig(t, d.Listener.Addr().String(), list{})
 			cfg.settings.Config.Cancel = true
+			for i := range cfg.settings.Config.Classes {
+				cfg.settings.Config.Classes[i].Aim = 1900 // by the load they tell, the servers do 30 a second
+			}
 			r := start(t, cfg)
 			others, one := dial(t, r.addr), dial(t, r.addr)
 			for others.ask("mn") != "MN" {
