Wait for the first answer of an unknown server and of one on trial

Now these get three quarters of what is left of the aim. Checked and ruled out: connections refused or reset there (none), failures weighed (doubt stayed at 0).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -120,16 +120,6 @@
 	return b.typical(s, 4000/max(1, b.x.mean)) // or four channels
 }
 
-// learn takes a load report; absent and absurd figures are passed over.
-func (b *Balancer) learn(s *server, l Load) {
-	if !figure(l.QPS) || !figure(l.Util) || l == s.last {
-		return
-	}
-	if s.last, s.qps, s.heard = l, l.QPS, b.now; l.Util > 0.03 && l.QPS > 0 {
-		s.cap.see(b.now, l.QPS/min(l.Util, 1.5)/b.warmth(s), 0.2) // over five reports, as they are noisy
-	}
-}
-
 // candidates leaves out the servers that can't be used: they are skipped in their place.
 func (b *Balancer) candidates(k *flow) []*server {
 	return slices.DeleteFunc(slices.Clone(b.list(k)), func(s *server) bool { return !b.usable(s, nil) })
@@ -313,6 +303,11 @@
 		s.sent.add(b.now, sendTau, r.work)
 		e := max(s.lat.floor, b.x.mean/2, 5)*max(0.5, r.work) + b.waitAt(s) // hints are rough, pauses are not
 		patience := max(1.2*e, min(3*e, r.aim-b.now-1.5*e))                 // leaves time for another attempt
+		// An unknown server, and one on trial, answers over a new connection, perhaps from another zone:
+		// ended early, healthy ones stayed out for good. Harm: a dead one costs these most of their time.
+		if s.ejected || s.lat.v == 0 {
+			patience = max(patience, 0.75*(r.aim-b.now))
+		}
 		if b.now+patience < r.until {
 			b.host.Timer(patience, uint64(r.ID)<<8|uint64(len(r.tries)))
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -323,6 +323,16 @@
 	return again || most
 }
 
+// learn takes a load report; absent and absurd figures are passed over.
+func (b *Balancer) learn(s *server, l Load) {
+	if !figure(l.QPS) || !figure(l.Util) || l == s.last {
+		return
+	}
+	if s.last, s.qps, s.heard = l, l.QPS, b.now; l.Util > 0.03 && l.QPS > 0 {
+		s.cap.see(b.now, l.QPS/min(l.Util, 1.5)/b.warmth(s), 0.2) // over five reports, as they are noisy
+	}
+}
+
 // unit is what a server's capacity is compared by.
 func (s *server) unit(sized bool) float64 {
 	if sized && s.Size > 0 {
--- a/internal/router/health_test.go
+++ b/internal/router/health_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // flaky is a fleet whose connections end under requests, and the first and last servers that each request came to.
@@ -218,3 +219,30 @@
 		})
 	}
 }
+
+// The first answer of a server may take long, over a new connection to another zone: the server is waited for, and is
+// neither asked twice nor taken out of use.
+func TestFirstAnswersAreWaitedFor(t *testing.T) {
+	far := func(string) string {
+		time.Sleep(80 * time.Millisecond) // the way
+		return "VA 5 O{id} h1 Lqps=3000,util=0.1\r\nhello\r\n"
+	}
+	s1, s2, o := startFake(t, far), startFake(t, far), startFake(t, originOK)
+	d := startDirectory(t, full(box("s-0000000b", s1.addr), box("s-0000000c", s2.addr), originAt(o.addr)))
+	cfg := testConfig(t, d.Listener.Addr().String(), list{})
+	cfg.settings.Config.Cancel = true
+	r := start(t, cfg)
+	c := dial(t, r.addr)
+	for c.ask("mn") != "MN" {
+	}
+	const asked = 10
+	for i := range asked {
+		line := fmt.Sprintf("mg %016x v Oa%d Pc=read,t=t,d=2000,h=52000,size=5", 7919*(i+1), i)
+		if got := c.ask(line); !strings.HasPrefix(got, "VA ") {
+			t.Errorf("got %q", got)
+		}
+	}
+	if n1, n2 := len(s1.seen), len(s2.seen); n1+n2 != asked || n1 == 0 || n2 == 0 {
+		t.Errorf("%d requests were asked %d times at the one server, %d times at the other", asked, n1, n2)
+	}
+}
