Cut the bound on fetches from those that are out, and from half of the aim on

The bound stood at 17 to 30 for some 8 in use, fell by a fifth each half second, and only from 2.5 times the floor or 0.8 of the aim on (fetched). A held request costs the origin nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -547,7 +547,9 @@
 	if st == OK || late {
 		b.olat.see(b.now, lat, 0.1) // over ten fetches
 	}
-	slow := min(2.5*b.olat.floor, 0.8*r.class.Aim) // a floor risen in overload excuses no useless answer
+	// Beyond half of the aim a queue there serves nobody, as the cache came first. Harm: where the aim is
+	// short for the origin, few are out at once. A floor risen in overload excuses no useless answer.
+	slow := min(2.5*b.olat.floor, max(1.3*b.olat.floor, 0.5*r.class.Aim), 0.8*r.class.Aim)
 	if (st == OK || late) && b.olat.v < slow {
 		b.fetches = min(64, b.fetches+min(1/max(1, b.fetches), max(0.25*b.fetches, 4/float64(b.cfg.Routers))))
 	} else if st.tells() && (st != TimedOut || late) && b.now-b.cutAt > 500 {
@@ -555,7 +557,7 @@
 		if st == Failed { // stopped, or working off a queue that nobody waits for: it needs room
 			cut, least = 0.4, least/40
 		}
-		b.cutAt, b.fetches = b.now, max(min(least, b.fetches), cut*b.fetches)
+		b.cutAt, b.fetches = b.now, max(min(least, b.fetches), cut*min(b.fetches, b.fetching()+1))
 	}
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -567,6 +567,23 @@
 	}
 }
 
+// The bound had risen to several times what was out while the origin was quick: when it was asked for more than it could
+// do, cuts of a fifth left a queue there for seconds, and half of all fetches came too late.
+func TestBoundOnFetchesFallsBelowThoseThatQueue(t *testing.T) {
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind = true, "origin"
+	b, _ := start(t, cfg, append(fleet(3), Entry{ID: 77, Kind: "origin"}))
+	b.fetches, b.olat, b.origin.out = 40, level{v: 80, floor: 80, at: b.now}, 12
+	r := &request{class: &Class{Aim: 300}, key: &flow{}}
+	for range 20 { // 160 ms are less than 2.5 times the floor, but over half of the aim
+		b.now += 10
+		b.fetched(r, OK, 160)
+	}
+	if b.fetches >= 12 {
+		t.Errorf("a bound of %v with 12 out, half of the aim late", b.fetches)
+	}
+}
+
 // A whole fetch at each of hundreds of routers, from the start or as the least that a cut leaves, jammed the origin.
 func TestFetchesOfManyRoutersAddUpToAFewPlaces(t *testing.T) {
 	for _, routers := range []int{4, 300} {
