--- a/decide/decide.go
+++ b/decide/decide.go
@@ -557,7 +557,10 @@
 		if st == Failed { // stopped, or working off a queue that nobody waits for: it needs room
 			cut, least = 0.4, least/40
 		}
-		b.cutAt, b.fetches = b.now, max(min(least, b.fetches), cut*min(b.fetches, b.fetching()+1))
+		if b.cutAt = b.now; b.olat.v >= slow { // a queue: the bound may be far above those out
+			b.fetches = min(b.fetches, max(least, b.fetching()+1))
+		}
+		b.fetches = max(min(least, b.fetches), cut*b.fetches)
 	}
 }
 
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -582,6 +582,11 @@
 	if b.fetches >= 12 {
 		t.Errorf("a bound of %v with 12 out, half of the aim late", b.fetches)
 	}
+	b.fetches, b.olat, b.origin.out = 40, level{v: 80, floor: 80, at: b.now}, 2
+	b.now += 1000
+	if b.fetched(r, Reset, 400); b.fetches < 30 { // a lost answer tells of no queue
+		t.Errorf("a bound of %v after one reset", b.fetches)
+	}
 }
 
 // A whole fetch at each of hundreds of routers, from the start or as the least that a cut leaves, jammed the origin.
