Move lists, discovery and configuration to packages of their own; add watched files

A router of one's own needs more than the platform's configuration and discovery, and internal/router held both.

internal/member has the one type of list, discovery (moved unchanged) and the watched server file: parsing with faults that name file, line and key, a pure plan from one list to the next, the last good list kept on disk. internal/watch follows one edited file (settling is a pure module), internal/tomlfile reads TOML strictly, internal/config holds the platform's JSON (moved) and the program's own TOML. The router takes its lists from a source, either kind, and can take new classes and tenants; servers at an address are found by an index, where a list of n new servers took n*n steps.

The module gets weights as a fact (Weighted: a server claims buckets by its weight; off on the platform) and Configure.

--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/router"
 )
 
@@ -29,7 +30,7 @@
 	if path == "" {
 		return fmt.Errorf("GW_CONFIG: not set")
 	}
-	cfg, err := router.LoadConfig(path, os.Getenv)
+	cfg, err := config.Load(path, os.Getenv)
 	if err != nil {
 		return err
 	}
@@ -42,27 +43,27 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	updates := make(chan *router.Config)
+	updates := make(chan router.Setup)
 	go reload(ctx, path, hup, updates)
-	return router.Serve(ctx, cfg, ln, updates)
+	return router.Serve(ctx, router.Setup{Config: cfg}, ln, updates)
 }
 
 // reload hands on the configuration at path as it is at each SIGHUP, until ctx ends. A bad one is logged and changes
 // nothing.
-func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- *router.Config) {
+func reload(ctx context.Context, path string, hup <-chan os.Signal, updates chan<- router.Setup) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
 		}
-		cfg, err := router.LoadConfig(path, os.Getenv)
+		cfg, err := config.Load(path, os.Getenv)
 		if err != nil {
 			log.Printf("SIGHUP: the configuration is kept: %v", err)
 			continue
 		}
 		select {
-		case updates <- cfg:
+		case updates <- router.Setup{Config: cfg}:
 		case <-ctx.Done():
 			return
 		}
--- a/decide/api.go
+++ b/decide/api.go
@@ -54,6 +54,7 @@
 	Aside      bool   // a miss comes back and the router asks the origin; else servers fetch by themselves
 	OriginKind string // aside: the kind of the listed server that is the origin
 
+	Weighted    bool // a listed size is a weight: the share of the keys that a server is to get, 1 = the usual
 	SizesVary   bool // listed sizes are load figures that change from list to list
 	ByProbe     bool // loads are reported in probe results only
 	AskList     bool // the list is sent only to routers that ask for it
@@ -177,8 +178,8 @@
 	Log(text string)
 }
 
-// validate reports the first setting that is missing or impossible.
-func (c *Config) validate() error {
+// Validate reports the first setting that is missing or impossible.
+func (c *Config) Validate() error {
 	bad := func(name string, v any) error { return fmt.Errorf("decide: setting %s: impossible value %v", name, v) }
 	pos := func(v float64) bool { return v > 0 && !math.IsInf(v, 1) }
 	nonneg := func(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
@@ -237,26 +238,48 @@
 	return nil
 }
 
+// Configure changes classes, tenants and what a request over its tenant's quota is worth. Requests that are open keep
+// the class that they came with. An error names the setting that is impossible, and nothing changes.
+func (b *Balancer) Configure(now float64, classes []Class, tenants []Tenant, overWorth float64) error {
+	cfg := b.cfg
+	cfg.Classes, cfg.Tenants, cfg.OverWorth = classes, tenants, overWorth
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	b.begin(now)
+	b.cfg = cfg
+	b.setUp()
+	return nil
+}
+
+// setUp makes the records of classes and tenants; tenants that stay keep what they have used.
+func (b *Balancer) setUp() {
+	used := b.used
+	b.classes, b.quota, b.used, b.maxWorth = map[string]*Class{}, map[string]float64{}, map[string]*rate{}, 0
+	for i, c := range b.cfg.Classes {
+		b.classes[c.Name], b.maxWorth = &b.cfg.Classes[i], max(b.maxWorth, c.Worth)
+	}
+	for _, t := range b.cfg.Tenants {
+		if b.quota[t.Name], b.used[t.Name] = t.Quota, used[t.Name]; b.used[t.Name] == nil {
+			b.used[t.Name] = &rate{}
+		}
+	}
+}
+
 // Peer takes a message of another router. Routers tell each other nothing yet.
 func (b *Balancer) Peer(now float64, _ int, _ []byte) { b.begin(now) }
 
 // New returns a Balancer for the settings, or an error that names the setting that is missing or impossible.
 func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := cfg.validate(); err != nil {
+	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 1)), began: -1,
 		spare: 10, fetches: min(8, 32/float64(cfg.Routers)), bear: 0.2, keep: cfg.ConnIdle,
 		portion: 1 / float64(cfg.Routers),
-		turn:    int(seed % 4096), watchAt: math.Inf(1), classes: map[string]*Class{}, quota: map[string]float64{},
-		used: map[string]*rate{}, servers: map[uint32]*server{}, keys: map[uint64]*flow{},
+		turn:    int(seed % 4096), watchAt: math.Inf(1), servers: map[uint32]*server{}, keys: map[uint64]*flow{},
 		reqs: map[uint32]*request{}}
-	for i, c := range cfg.Classes {
-		b.classes[c.Name], b.maxWorth = &cfg.Classes[i], max(b.maxWorth, c.Worth)
-	}
-	for _, t := range cfg.Tenants {
-		b.quota[t.Name], b.used[t.Name] = t.Quota, &rate{}
-	}
+	b.setUp()
 	return b, nil
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,8 @@
 
 const (
 	tableBits = 13   // memento-hash table of 8192 buckets, so that claims seldom clash
-	claims    = 64   // buckets that a server claims
+	claims    = 64   // buckets that a server claims, of a weight of 1 where weights count
+	maxClaims = 1024 // and with the highest weight
 	listLen   = 6    // candidates of a key
 	hotSeen   = 1.5  // arrivals in memory from which a key is solved singly; the hottest 32 at most
 	epsilon   = 1e-3 // relative change of F that ends the sweeps; 40 at most
--- a/decide/state.go
+++ b/decide/state.go
@@ -198,7 +198,7 @@
 	b.epoch++
 	b.table = make([]*server, 1<<tableBits)
 	for _, s := range b.order {
-		for i := range claims {
+		for i := range b.claimsOf(s) {
 			slot := mix(uint64(s.ID)<<8|uint64(i)) >> (64 - tableBits)
 			if o := b.table[slot]; o == nil || mix(slot^uint64(s.ID)<<16) < mix(slot^uint64(o.ID)<<16) {
 				b.table[slot] = s
@@ -207,6 +207,15 @@
 	}
 }
 
+// claimsOf is how many buckets a server claims. By weight they grow with it, and a change of one weight moves only the
+// keys of the buckets that come or go.
+func (b *Balancer) claimsOf(s *server) int {
+	if !b.cfg.Weighted || !figure(s.Size) {
+		return claims
+	}
+	return int(min(maxClaims, max(1, math.Round(claims*s.Size))))
+}
+
 // list gives the first distinct servers of a key. Keys of a removed bucket are drawn again over the table.
 func (b *Balancer) list(k *flow) []*server {
 	if k.epoch != b.epoch {
--- /dev/null
+++ b/internal/config/file.go
@@ -0,0 +1,468 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/member"
+	"mossproxy.example/mossproxy/internal/settings"
+	"mossproxy.example/mossproxy/internal/tomlfile"
+	"mossproxy.example/mossproxy/internal/watch"
+)
+
+// File is a router's own configuration: one checked configuration for each pool, of the same type that the platform's
+// becomes.
+type File struct {
+	Name  string
+	Cores int
+	Pools []*Config
+}
+
+// maxConfig is the longest configuration that is read, in bytes.
+const maxConfig = 1 << 20
+
+// document mirrors the configuration file. deploy/cottonyoke.toml explains each key.
+type document struct {
+	Name     string       `toml:"name"`
+	Site     string       `toml:"site"`
+	Seed     string       `toml:"seed"`
+	StateDir string       `toml:"state_dir"`
+	Limits   limitKeys    `toml:"limits"`
+	Tier     tierKeys     `toml:"tier"`
+	Attempts attemptKeys  `toml:"attempts"`
+	Rules    ruleKeys     `toml:"rules"`
+	Classes  []classKeys  `toml:"class"`
+	Tenants  []tenantKeys `toml:"tenant"`
+	Over     *float64     `toml:"over_share_worth"`
+	Pools    []poolKeys   `toml:"pool"`
+	End      *struct{}    `toml:"end"`
+}
+
+// mark is the last line of a whole file: one that was cut short, also where what is there would parse, lacks it.
+var mark = regexp.MustCompile(`^\s*\[end\]\s*(#.*)?$`)
+
+// lastLine is the last line that holds more than a comment.
+func lastLine(text []byte) []byte {
+	lines := bytes.Split(text, []byte("\n"))
+	for _, l := range slices.Backward(lines) {
+		if l = bytes.TrimSpace(l); len(l) > 0 && l[0] != '#' {
+			return l
+		}
+	}
+	return nil
+}
+
+type limitKeys struct {
+	Memory  *int64 `toml:"memory_mb"`
+	Sockets *int   `toml:"descriptors"`
+	Cores   *int   `toml:"cores"`
+}
+
+type tierKeys struct {
+	Routers *int `toml:"routers"`
+	Me      *int `toml:"me"`
+}
+
+type attemptKeys struct {
+	Most    *int     `toml:"max"`
+	Connect *float64 `toml:"connect_timeout_ms"`
+	Idle    *float64 `toml:"server_idle_ms"`
+	Cancel  *bool    `toml:"cancel"`
+	Probes  *bool    `toml:"probes"`
+}
+
+type ruleKeys struct {
+	Cold     *float64 `toml:"cold_ms"`
+	ColdFrom *float64 `toml:"cold_from"`
+	Factor   *float64 `toml:"overload_factor"`
+	For      *float64 `toml:"overload_for_ms"`
+}
+
+type classKeys struct {
+	Name     string   `toml:"name"`
+	Effect   string   `toml:"effect"`
+	Scope    string   `toml:"scope"`
+	Window   *float64 `toml:"window_ms"`
+	Aim      *float64 `toml:"aim_ms"`
+	Stretch  *float64 `toml:"aim_stretch"`
+	Deadline *float64 `toml:"deadline_ms"`
+	Worth    *float64 `toml:"worth"`
+	Late     *float64 `toml:"late_worth"`
+}
+
+type tenantKeys struct {
+	Name  string   `toml:"name"`
+	Share *float64 `toml:"share_per_s"`
+}
+
+type poolKeys struct {
+	Name    string      `toml:"name"`
+	Listen  string      `toml:"listen"`
+	Part    *float64    `toml:"part"`
+	Origin  string      `toml:"origin"`
+	Sites   []string    `toml:"sites"`
+	Kinds   []string    `toml:"kinds"`
+	Servers serversKeys `toml:"servers"`
+}
+
+type serversKeys struct {
+	File      string   `toml:"file"`
+	Discovery string   `toml:"discovery"`
+	Gone      *float64 `toml:"gone_share"`
+	Settle    *float64 `toml:"settle_ms"`
+	Notices   *bool    `toml:"notices"`
+}
+
+// ReadFile reads a configuration file and checks it whole. An error is of type tomlfile.Faults where the file could be
+// read.
+func ReadFile(path string) (*File, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	defer f.Close()
+	i, err := f.Stat()
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if !i.Mode().IsRegular() || i.Size() > maxConfig {
+		return nil, fmt.Errorf("configuration: %s: not a regular file of up to %d bytes", path, maxConfig)
+	}
+	text := make([]byte, i.Size())
+	n, err := f.ReadAt(text, 0)
+	if err != nil && int64(n) != i.Size() {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, faults := ParseFile(path, text)
+	return c, faults.Err()
+}
+
+// ParseFile checks a configuration. Names of files in it are relative to the folder of path.
+func ParseFile(path string, text []byte) (*File, tomlfile.Faults) {
+	var doc document
+	d, faults := tomlfile.Decode(path, text, &doc)
+	if faults != nil {
+		return nil, faults
+	}
+	c := checker{d: d, doc: &doc, dir: filepath.Dir(path)}
+	if !mark.Match(lastLine(text)) {
+		c.bad("", "the last line is missing, so the file may be cut short; if it is whole, add as its last line: [end]")
+	}
+	out := c.file()
+	if c.faults != nil {
+		return nil, c.faults
+	}
+	return out, nil
+}
+
+// checker checks a configuration and gathers what is wrong.
+type checker struct {
+	d      *tomlfile.Doc
+	doc    *document
+	dir    string
+	faults tomlfile.Faults
+}
+
+// maxFaults bounds what is said about one file.
+const maxFaults = 100
+
+func (c *checker) bad(key, format string, args ...any) {
+	if len(c.faults) < maxFaults {
+		c.faults = append(c.faults, c.d.Fault(key, format, args...))
+	}
+}
+
+// number is a key's value, its default where it is missing; out of range it is a fault.
+func number[T int | int64 | float64](c *checker, key string, v *T, def, lo, hi T, unit string) T {
+	if v == nil {
+		return def
+	}
+	if f := float64(*v); !(f >= float64(lo) && f <= float64(hi)) {
+		c.bad(key, "%v is out of range; from %v to %v%s is right", *v, lo, hi, unit)
+		return def
+	}
+	return *v
+}
+
+func flag(v *bool, def bool) bool {
+	if v == nil {
+		return def
+	}
+	return *v
+}
+
+// name checks a name, which must stand once among those seen.
+func (c *checker) name(key, v string, seen *[]string) {
+	if v == "" || len(v) > 64 || strings.Trim(v, ".") == "" || strings.ContainsFunc(v, func(r rune) bool { return r <= ' ' || r > '~' || strings.ContainsRune(`,=/\`, r) }) {
+		c.bad(key, "%.40q is no name; up to 64 letters, digits and signs but , = / and \\ are", v)
+	} else if slices.Contains(*seen, v) {
+		c.bad(key, "%q stands twice; each name stands once", v)
+	}
+	*seen = append(*seen, v)
+}
+
+// hour bounds times, in milliseconds.
+const hour = 3600e3
+
+// file checks all of it.
+func (c *checker) file() *File {
+	doc := c.doc
+	var none []string
+	if doc.Name == "" {
+		doc.Name = "cottonyoke"
+	}
+	c.name("name", doc.Name, &none)
+	out := &File{Name: doc.Name, Cores: number(c, "limits.cores", doc.Limits.Cores, 1, 1, 1, " (more cores come with a later version)")}
+	base := c.module()
+	base.Classes, base.Tenants = c.classes(), c.tenants()
+	memory := number(c, "limits.memory_mb", doc.Limits.Memory, 192, 16, 1<<20, " MB")
+	sockets := number(c, "limits.descriptors", doc.Limits.Sockets, 1024, 2*FDReserve, 1<<20, "")
+	seed := c.seed()
+	if len(doc.Pools) == 0 {
+		c.bad("pool", "there is none; add [[pool]] with a name, listen and servers")
+	}
+	var names, addresses []string
+	total := 0.0
+	for i := range doc.Pools {
+		part := number(c, fmt.Sprintf("pool[%d].part", i), doc.Pools[i].Part, 1, 0.01, 100, "")
+		doc.Pools[i].Part = &part
+		total += part
+	}
+	for i := range doc.Pools {
+		p := &doc.Pools[i]
+		cfg := c.pool(fmt.Sprintf("pool[%d]", i), p, base, &names, &addresses)
+		cfg.Name, cfg.SeedNumber = doc.Name, seed
+		if len(doc.Pools) > 1 {
+			cfg.Name += "/" + p.Name
+		}
+		cfg.Limits.MemoryMB = int64(float64(memory) * *p.Part / total)
+		cfg.Limits.Sockets = int(float64(sockets) * *p.Part / total)
+		if cfg.Limits.MemoryMB < 16 || cfg.Limits.Sockets < 2*FDReserve {
+			c.bad(fmt.Sprintf("pool[%d].part", i), "leaves the pool %d MB and %d descriptors; it takes 16 and %d at least: raise limits, or the part",
+				cfg.Limits.MemoryMB, cfg.Limits.Sockets, 2*FDReserve)
+		}
+		out.Pools = append(out.Pools, cfg)
+	}
+	if c.faults == nil {
+		c.validate(out)
+	}
+	return out
+}
+
+// validate lets the module check what it is given: its bounds hold whatever this file thinks.
+func (c *checker) validate(f *File) {
+	for i, p := range f.Pools {
+		if err := p.Checked.Config.Validate(); err != nil {
+			c.bad(fmt.Sprintf("pool[%d]", i), "%v", err)
+		}
+	}
+}
+
+func (c *checker) seed() uint64 {
+	if c.doc.Seed == "" {
+		return 0 // the program draws one
+	}
+	n, err := strconv.ParseUint(c.doc.Seed, 16, 64)
+	if err != nil || n == 0 {
+		c.bad("seed", "%.40q is no seed; up to 16 hex digits that are not all 0 are", c.doc.Seed)
+	}
+	return n
+}
+
+// module is what all pools tell the module alike.
+func (c *checker) module() decide.Config {
+	d := c.doc
+	if d.Site == "" {
+		c.bad("site", "missing; name the site that this router stands in")
+	}
+	m := decide.Config{Zone: d.Site, Weighted: true,
+		Routers:     number(c, "tier.routers", d.Tier.Routers, 1, 1, 4096, " routers"),
+		Me:          number(c, "tier.me", d.Tier.Me, 0, 0, 4095, ""),
+		OverWorth:   number(c, "over_share_worth", d.Over, 0.25, 0, 1, ""),
+		MaxAttempts: number(c, "attempts.max", d.Attempts.Most, 4, 1, 5, " attempts"),
+		ConnIdle:    number(c, "attempts.server_idle_ms", d.Attempts.Idle, 10000, 1000, hour, " ms"),
+		Cancel:      flag(d.Attempts.Cancel, true),
+		Probes:      flag(d.Attempts.Probes, true),
+		Cold:        number(c, "rules.cold_ms", d.Rules.Cold, 8000, 0, hour, " ms"),
+		ColdFrom:    number(c, "rules.cold_from", d.Rules.ColdFrom, 0.3, 0.01, 1, ""),
+		FallMult:    number(c, "rules.overload_factor", d.Rules.Factor, 3, 1, 100, ""),
+		FallFor:     number(c, "rules.overload_for_ms", d.Rules.For, 2000, 1, hour, " ms"),
+	}
+	if m.Me >= m.Routers {
+		c.bad("tier.me", "%d is no number of a tier of %d; they count from 0", m.Me, m.Routers)
+	}
+	return m
+}
+
+var scopes = []string{"all", "zone", "cell"}
+
+func (c *checker) classes() []decide.Class {
+	if len(c.doc.Classes) == 0 {
+		c.bad("class", "there is none; add [[class]] with a name, an effect, aim_ms and deadline_ms")
+	}
+	var names []string
+	var out []decide.Class
+	for i := range c.doc.Classes {
+		k, at := &c.doc.Classes[i], fmt.Sprintf("class[%d].", i)
+		c.name(at+"name", k.Name, &names)
+		if k.Aim == nil || k.Deadline == nil {
+			c.bad(at+"aim_ms", "aim_ms and deadline_ms are needed; a class has no usual time")
+		}
+		e, ok := settings.EffectOf(k.Effect)
+		if !ok {
+			c.bad(at+"effect", "%.40q is no effect; repeatable, by_key and once are", k.Effect)
+		}
+		cl := decide.Class{Name: k.Name, Effect: e, Scope: k.Scope,
+			Aim:      number(c, at+"aim_ms", k.Aim, 1, 1, hour, " ms"),
+			Deadline: number(c, at+"deadline_ms", k.Deadline, hour, 1, hour, " ms"),
+			Window:   number(c, at+"window_ms", k.Window, 0, 0, 24*hour, " ms"),
+			Stretch:  number(c, at+"aim_stretch", k.Stretch, 0, 0, 100, ""),
+			Worth:    number(c, at+"worth", k.Worth, 1, 0, 1e6, ""),
+			Late:     number(c, at+"late_worth", k.Late, 0, 0, 1, "")}
+		if cl.Aim > cl.Deadline {
+			c.bad(at+"aim_ms", "%v is later than the deadline of %v", cl.Aim, cl.Deadline)
+		}
+		switch keyed := ok && e == decide.Keyed; {
+		case keyed && !slices.Contains(scopes, cl.Scope):
+			c.bad(at+"scope", "%.40q is no scope; %s are", cl.Scope, strings.Join(scopes, ", "))
+		case keyed && k.Window == nil:
+			c.bad(at+"window_ms", "missing; how long does the group that drops repeats remember a key?")
+		case ok && !keyed && (cl.Scope != "" || k.Window != nil):
+			c.bad(at+"scope", "scope and window_ms belong to the effect by_key alone")
+		}
+		out = append(out, cl)
+	}
+	return out
+}
+
+func (c *checker) tenants() []decide.Tenant {
+	var names []string
+	var out []decide.Tenant
+	for i, t := range c.doc.Tenants {
+		at := fmt.Sprintf("tenant[%d].", i)
+		c.name(at+"name", t.Name, &names)
+		if t.Share == nil {
+			c.bad(at+"share_per_s", "missing; how many requests a second over all routers count in full?")
+		}
+		out = append(out, decide.Tenant{Name: t.Name, Quota: number(c, at+"share_per_s", t.Share, 0, 0, 1e9, " requests a second")})
+	}
+	return out
+}
+
+// origins are the ways of a pool to values that no cache server has.
+var origins = []string{"router", "servers"}
+
+// pool checks one pool. Names and addresses are those of the pools before it.
+func (c *checker) pool(at string, p *poolKeys, base decide.Config, names, addresses *[]string) *Config {
+	c.name(at+".name", p.Name, names)
+	cfg := &Config{Listen: p.Listen, Own: true}
+	c.address(at+".listen", p.Listen, true)
+	if slices.Contains(*addresses, p.Listen) && !strings.HasSuffix(p.Listen, ":0") {
+		c.bad(at+".listen", "%q is another pool's; each listens at its own", p.Listen)
+	}
+	*addresses = append(*addresses, p.Listen)
+	if p.Origin == "" {
+		p.Origin = "router"
+	}
+	if !slices.Contains(origins, p.Origin) {
+		c.bad(at+".origin", "%.40q is no way to the origin; router (asks it after a miss) and servers (fetch by themselves) are", p.Origin)
+	}
+	m := base
+	if m.Aside = p.Origin == "router"; m.Aside {
+		m.OriginKind = "origin"
+	}
+	if len(p.Sites) > 0 && m.Zone != "" && !slices.Contains(p.Sites, m.Zone) {
+		c.bad(at+".sites", "the router's own site %q is not among them", m.Zone)
+	}
+	cfg.Checked = settings.Settings{Config: m, ConnectTimeout: number(c, "attempts.connect_timeout_ms", c.doc.Attempts.Connect, 250, 1, 60e3, " ms")}
+	cfg.Source = c.source(at+".servers", p, m.Aside)
+	cfg.Discovery = p.Servers.Discovery
+	return cfg
+}
+
+// address checks HOST:PORT.
+func (c *checker) address(key, v string, zero bool) {
+	host, port, err := net.SplitHostPort(v)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	if err != nil || host == "" || perr != nil || n == 0 && !zero {
+		c.bad(key, "%.60q is no address; HOST:PORT is", v)
+	}
+}
+
+// source checks where a pool's servers come from.
+func (c *checker) source(at string, p *poolKeys, origin bool) member.FileConfig {
+	s := &p.Servers
+	out := member.FileConfig{SettleMS: number(c, at+".settle_ms", s.Settle, watch.DefaultSettleMS, 0, 200, " ms"),
+		NoNotices: !flag(s.Notices, true),
+		Rules: member.Rules{Sites: p.Sites, Kinds: p.Kinds, Origin: origin,
+			GoneShare: number(c, at+".gone_share", s.Gone, member.DefaultGoneShare, 0.01, 1, "")}}
+	switch {
+	case (s.File == "") == (s.Discovery == ""):
+		c.bad(at, "takes one of the two: file = PATH or discovery = HOST:PORT")
+	case s.Discovery != "":
+		c.address(at+".discovery", s.Discovery, false)
+		if s.Gone != nil || s.Settle != nil || s.Notices != nil {
+			c.bad(at, "gone_share, settle_ms and notices belong to a file alone")
+		}
+		return member.FileConfig{}
+	default:
+		out.Path = c.relative(s.File)
+		if c.doc.StateDir != "" {
+			out.State = filepath.Join(c.relative(c.doc.StateDir), p.Name+".servers.json")
+		}
+	}
+	return out
+}
+
+// relative takes a path from the folder of the configuration.
+func (c *checker) relative(path string) string {
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(c.dir, path)
+}
+
+// NeedsRestart names the settings that differ and that a running router can't change: it has opened or shared out what
+// they say. An empty list means that next can take over from f.
+func (f *File) NeedsRestart(next *File) []string {
+	var keys []string
+	differs := func(key string, is bool) {
+		if is {
+			keys = append(keys, key)
+		}
+	}
+	differs("name", f.Name != next.Name)
+	differs("limits.cores", f.Cores != next.Cores)
+	if len(f.Pools) != len(next.Pools) {
+		return append(keys, "pool (their number)")
+	}
+	for i, p := range f.Pools {
+		q := next.Pools[i]
+		at := fmt.Sprintf("pool[%d].", i)
+		differs(at+"name", p.Name != q.Name)
+		differs(at+"listen", p.Listen != q.Listen)
+		differs(at+"origin", p.Checked.Config.Aside != q.Checked.Config.Aside)
+		differs(at+"servers.discovery (another kind of source)", (p.Source.Path == "") != (q.Source.Path == ""))
+		differs("limits", p.Limits != q.Limits)
+		differs("attempts", p.Checked.ConnectTimeout != q.Checked.ConnectTimeout)
+		a, b := p.Checked.Config, q.Checked.Config
+		a.Classes, a.Tenants, a.OverWorth, a.Aside, a.OriginKind = nil, nil, 0, false, ""
+		b.Classes, b.Tenants, b.OverWorth, b.Aside, b.OriginKind = nil, nil, 0, false, ""
+		differs("site, tier, attempts or rules", !sameModule(a, b))
+	}
+	return slices.Compact(keys)
+}
+
+// sameModule compares what is no list.
+func sameModule(a, b decide.Config) bool {
+	return fmt.Sprint(a) == fmt.Sprint(b) && !math.IsNaN(a.Cold)
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,10 +5,13 @@
 	"context"
 	"log"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/member"
 )
 
 // clock is one monotonic clock in milliseconds on which the starts of servers lie too: it counts from 1970 but steps
@@ -25,7 +28,7 @@
 	clock
 	b          *decide.Balancer
 	up         *upstreams
-	disc       *discovery // the one that is heard
+	source     *source // the one that is heard
 	copies     bool
 	originKind string
 	maxTry     int
@@ -36,12 +39,13 @@
 	later      []func() // what a Host method has caused: the Balancer must not be called from within its call
 	reqs       map[uint32]*request
 	lastID     uint32
-	open       map[string]*request // those that are not answered, by their client's id
-	classes    map[string]decide.Class
-	held       budget // bytes of the values of requests in hand
-	queued     budget // bytes of answers that no client has taken yet
+	open       map[string]*request                     // those that are not answered, by their client's id
+	classes    atomic.Pointer[map[string]decide.Class] // read by clients too
+	held       budget                                  // bytes of the values of requests in hand
+	queued     budget                                  // bytes of answers that no client has taken yet
 	targets    map[uint32]*target
-	ready      atomic.Bool // a list is held
+	addrs      map[string][]uint32 // servers at an address
+	ready      atomic.Bool         // a list is held
 }
 
 // request is a request from its arrival until it is answered and its attempts are back.
@@ -96,21 +100,28 @@
 // grace after a client's deadline within which the answer to a time-out at the deadline comes.
 const grace = 15
 
-func newLoop(cfg *Config, up *upstreams) (*loop, error) {
-	s := cfg.settings.Config
+func newLoop(cfg *config.Config, up *upstreams) (*loop, error) {
+	s := cfg.Checked.Config
 	l := &loop{clock: clock{time.Now()}, up: up, copies: s.Copies, originKind: s.OriginKind, maxTry: s.MaxAttempts, events: make(chan func(), 1024),
 		done: make(chan struct{}), reqs: map[uint32]*request{}, targets: map[uint32]*target{}, open: map[string]*request{},
-		classes: map[string]decide.Class{}}
-	for _, c := range s.Classes {
-		l.classes[c.Name] = c
-	}
+		addrs: map[string][]uint32{}}
+	l.setClasses(s.Classes)
 	// A value is in memory up to three times, as it came and as it goes out.
 	l.held.limit, l.queued.limit = cfg.Limits.MemoryMB<<20/16, cfg.Limits.MemoryMB<<20/8
 	var err error
-	l.b, err = decide.New(s, cfg.seed, l)
+	l.b, err = decide.New(s, cfg.SeedNumber, l)
 	return l, err
 }
 
+// setClasses brings the classes that clients may name up to date.
+func (l *loop) setClasses(classes []decide.Class) {
+	m := make(map[string]decide.Class, len(classes))
+	for _, c := range classes {
+		m[c.Name] = c
+	}
+	l.classes.Store(&m)
+}
+
 // post hands an event to the loop.
 func (l *loop) post(event func()) {
 	select {
@@ -158,7 +169,7 @@
 	if cmd.verb != "mg" && cmd.verb != "ms" {
 		return nil
 	}
-	c, ok := l.classes[cmd.class]
+	c, ok := (*l.classes.Load())[cmd.class]
 	switch {
 	case !ok:
 		return malformed("class %.40q", cmd.class)
@@ -185,7 +196,7 @@
 	}
 	now := l.now()
 	// No client waits longer than its class allows: nor does the record of one that says so.
-	left := max(0, min(cmd.wait, l.classes[cmd.class].Deadline)-(now-read))
+	left := max(0, min(cmd.wait, (*l.classes.Load())[cmd.class].Deadline)-(now-read))
 	r := &request{id: l.lastID, cmd: cmd, until: now + left, slot: s}
 	l.reqs[r.id], l.open[cmd.id], s.req = r, r, r
 	r.due = l.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
@@ -276,13 +287,13 @@
 }
 
 // list takes a list of servers.
-func (l *loop) list(kind decide.ListKind, got list) {
+func (l *loop) list(kind decide.ListKind, got member.List) {
 	entries := make([]decide.Entry, 0, len(got.Servers))
 	named := map[uint32]bool{}
 	for _, e := range got.Servers {
-		d, err := e.decided()
+		d, err := e.Decided()
 		if err != nil {
-			log.Printf("discovery: entry passed over: %v", err)
+			log.Printf("discovery: member.Entry passed over: %v", err)
 			continue
 		}
 		entries, named[d.ID] = append(entries, d), true
@@ -296,6 +307,7 @@
 		case t == nil || t.addr != e.Addr:
 			l.drop(d.ID)
 			l.targets[d.ID] = l.up.add(e.Addr, e.Kind == l.originKind)
+			l.addrs[e.Addr] = append(l.addrs[e.Addr], d.ID)
 			l.targets[d.ID].started = d.Started
 		case t.started != d.Started: // connections to the process before it are dead, perhaps without a word
 			t.started = d.Started
@@ -318,8 +330,8 @@
 // replaced is the end of the servers that were at the address of a new one: it has come in their place, though the news
 // of their end may be late, and what is meant for them would reach it, cold as it is.
 func (l *loop) replaced(by decide.Entry, addr string) (gone []decide.Entry) {
-	for old, t := range l.targets {
-		if t.addr == addr && by.Started > t.started {
+	for _, old := range slices.Clone(l.addrs[addr]) {
+		if by.Started > l.targets[old].started {
 			l.drop(old)
 			gone = append(gone, decide.Entry{ID: old, State: decide.Gone})
 		}
@@ -327,19 +339,25 @@
 	return gone
 }
 
-// follow hears d from now on, and no discovery before it. The list that is held stays until d gives a whole one.
-func (l *loop) follow(d *discovery) {
-	if l.disc != nil {
-		d.watch() // the Balancer has asked already, of the one before
+// follow hears s from now on, and no source before it. The list that is held stays until s gives a whole one.
+func (l *loop) follow(s *source) {
+	if l.source != nil {
+		s.watch() // the Balancer has asked already, of the one before
 	}
-	l.disc = d
+	l.source = s
 }
 
+// drop lets a server go.
 func (l *loop) drop(id uint32) {
-	if t := l.targets[id]; t != nil {
-		delete(l.targets, id)
-		l.up.remove(t)
+	t := l.targets[id]
+	if t == nil {
+		return
+	}
+	delete(l.targets, id)
+	if l.addrs[t.addr] = slices.DeleteFunc(l.addrs[t.addr], func(at uint32) bool { return at == id }); len(l.addrs[t.addr]) == 0 {
+		delete(l.addrs, t.addr)
 	}
+	l.up.remove(t)
 }
 
 // The methods of decide.Host.
@@ -425,8 +443,8 @@
 
 // Watch asks discovery for changes from now on.
 func (l *loop) Watch() {
-	if l.disc != nil {
-		l.disc.watch()
+	if l.source != nil {
+		l.source.watch()
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,12 @@
 
 var effects = map[string]decide.Effect{"repeatable": decide.Repeatable, "by_key": decide.Keyed, "once": decide.Once}
 
+// EffectOf is the effect of that name.
+func EffectOf(name string) (decide.Effect, bool) {
+	e, ok := effects[name]
+	return e, ok
+}
+
 // Parse reads the settings of one instance.
 func Parse(text []byte) (Settings, error) {
 	var s object
@@ -87,7 +93,7 @@
 		c.OriginKind = s.Kinds[*k]
 	}
 	for _, k := range s.Categories {
-		e, ok := effects[k.Effect]
+		e, ok := EffectOf(k.Effect)
 		if !ok {
 			return Settings{}, fmt.Errorf("settings: categories[%s].effect: unknown value %q", k.Name, k.Effect)
 		}
--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,180 @@
+// Package tomlfile reads TOML strictly: every fault names its file, line and key, and what would be right. Unknown
+// keys, doubled keys and half a file are faults.
+package tomlfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Fault is one thing that is wrong in a file.
+type Fault struct {
+	File string
+	Line int    // counted from 1; 0 where the fault lies in no line
+	Key  string // dotted, with places in arrays from 0: class[2].aim_ms; "" where no key is at fault
+	What string // what is wrong and what would be right
+}
+
+// Error is the fault as file:line: key: what.
+func (f Fault) Error() string {
+	at := f.File
+	if f.Line > 0 {
+		at = fmt.Sprintf("%s:%d", at, f.Line)
+	}
+	if f.Key != "" {
+		at += ": " + f.Key
+	}
+	return at + ": " + f.What
+}
+
+// Faults are all that is wrong in a file, in the order in which it was found.
+type Faults []Fault
+
+// Error holds a line for each fault.
+func (fs Faults) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err is the faults as an error, nil where there are none.
+func (fs Faults) Err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	return fs
+}
+
+// Doc is a file that was read: it knows the lines of its keys.
+type Doc struct {
+	File  string
+	text  []byte
+	lines map[string]int // of each key; made when the first fault asks for it
+}
+
+// maxFaults bounds what is said about one file.
+const maxFaults = 100
+
+// Decode reads text into the struct that into points to. Syntax and types end at the first fault, unknown keys are all
+// told.
+func Decode(file string, text []byte, into any) (*Doc, Faults) {
+	d := &Doc{File: file, text: text}
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
+	var unknown *toml.StrictMissingError
+	var broken *toml.DecodeError
+	switch {
+	case err == nil:
+		return d, nil
+	case errors.As(err, &unknown):
+		var fs Faults
+		for i, e := range unknown.Errors {
+			if i == maxFaults {
+				break
+			}
+			line, _ := e.Position()
+			fs = append(fs, Fault{file, line, strings.Join(e.Key(), "."), "no such key; see --help or the example for those there are"})
+		}
+		return d, fs
+	case errors.As(err, &broken):
+		line, _ := broken.Position()
+		what := strings.TrimPrefix(broken.Error(), "toml: ")
+		if line >= 1+bytes.Count(bytes.TrimRight(text, "\n"), []byte("\n")) && len(broken.Key()) == 0 {
+			what += " (the file may be cut off here)"
+		}
+		return d, Faults{{file, line, strings.Join(broken.Key(), "."), what}}
+	}
+	return d, Faults{{File: file, What: strings.TrimPrefix(err.Error(), "toml: ")}}
+}
+
+// Fault is a fault at a key, or at the nearest key above it that the file has.
+func (d *Doc) Fault(key, format string, args ...any) Fault {
+	return Fault{d.File, d.Line(key), key, fmt.Sprintf(format, args...)}
+}
+
+// Line is the line of a key, or of the nearest key above it; 0 where there is none.
+func (d *Doc) Line(key string) int {
+	if d.lines == nil {
+		d.index()
+	}
+	for key != "" {
+		if n, ok := d.lines[key]; ok {
+			return n
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+	return 0
+}
+
+// index finds the line of each key.
+func (d *Doc) index() {
+	d.lines = map[string]int{}
+	seen := map[string]int{} // elements of arrays of tables
+	table := ""
+	var p unstable.Parser
+	p.Reset(d.text)
+	for p.NextExpression() {
+		e := p.Expression()
+		switch e.Kind {
+		case unstable.Table:
+			table = d.place(e.Key(), "", seen)
+		case unstable.ArrayTable:
+			name := d.place(e.Key(), "", seen)
+			table = fmt.Sprintf("%s[%d]", name, seen[name])
+			seen[name]++
+			d.lines[table] = d.lines[name]
+		case unstable.KeyValue:
+			d.value(d.place(e.Key(), table, seen), e.Value(), seen)
+		}
+	}
+}
+
+// place books the line of a key within a table, and returns its path.
+func (d *Doc) place(it unstable.Iterator, within string, seen map[string]int) string {
+	path, at := within, 0
+	for it.Next() {
+		n := it.Node()
+		if path != "" {
+			path += "."
+		}
+		path, at = path+string(n.Data), int(n.Raw.Offset)
+		if k := seen[path]; k > 0 && !it.IsLast() { // a table within the last element of an array of tables
+			path = fmt.Sprintf("%s[%d]", path, k-1)
+		}
+	}
+	if _, known := d.lines[path]; !known || within == "" {
+		d.lines[path] = 1 + bytes.Count(d.text[:min(at, len(d.text))], []byte("\n"))
+	}
+	return path
+}
+
+// value books the lines of the keys within a value.
+func (d *Doc) value(path string, v *unstable.Node, seen map[string]int) {
+	it := v.Children()
+	switch v.Kind {
+	case unstable.Array:
+		for i := 0; it.Next(); i++ {
+			at := fmt.Sprintf("%s[%d]", path, i)
+			if n := it.Node(); n.Kind == unstable.InlineTable || n.Kind == unstable.Array {
+				d.value(at, n, seen)
+			} else {
+				d.lines[at] = 1 + bytes.Count(d.text[:n.Raw.Offset], []byte("\n"))
+			}
+		}
+	case unstable.InlineTable:
+		for it.Next() {
+			n := it.Node()
+			inner := d.place(n.Key(), path, seen)
+			if _, known := d.lines[path]; !known || strings.HasSuffix(path, "]") && d.lines[path] == 0 {
+				d.lines[path] = d.lines[inner]
+			}
+			d.value(inner, n.Value(), seen)
+		}
+	}
+}
