--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -53,7 +53,8 @@
 // ServerID maps a server's id to the module's. All routers must map alike, as the module hashes it: the digits are
 // the number that the simulator's wire gives.
 func ServerID(id string) uint32 {
-	if v, err := strconv.ParseUint(id[strings.LastIndexByte(id, '-')+1:], 16, 32); err == nil {
+	digits := id[strings.LastIndexByte(id, '-')+1:]
+	if v, err := strconv.ParseUint(digits, 16, 32); err == nil && len(digits) == 8 { // not rades-01 and sfax-01 alike
 		return uint32(v)
 	}
 	h := fnv.New32a()
--- a/internal/watch/settle.go
+++ b/internal/watch/settle.go
@@ -36,7 +36,7 @@
 // see takes a look. With later comes the time of the next one.
 func (s *settler) see(now float64, found sum) (verdict, float64) {
 	if found == s.inUse {
-		s.pending, s.unrest = sum{}, math.Inf(1)
+		s.settled()
 		return rest, 0
 	}
 	if s.unrest > now {
@@ -53,11 +53,15 @@
 
 // taken tells that the pending content is in use now.
 func (s *settler) taken() {
-	s.inUse, s.pending, s.unrest = s.pending, sum{}, math.Inf(1)
+	s.inUse = s.pending
+	s.settled()
 }
 
-// bad tells that the pending content is bad. It says whether to tell of it now, once for each content, or when to look
-// again.
+// settled ends an episode: the content in use is what stands there. A bad one that comes back is told of again.
+func (s *settler) settled() { s.pending, s.unrest, s.told = sum{}, math.Inf(1), nil }
+
+// bad tells that the pending content is bad. It says whether to tell of it now, once for each content until a good one
+// stands there again, or when to look again.
 func (s *settler) bad(now float64) (tell bool, again float64) {
 	for _, t := range s.told {
 		if t == s.pending {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -104,15 +104,15 @@
 			n.renew()
 		case <-again.C:
 		}
-		if at := f.look(); !math.IsInf(at, 1) {
+		if at := f.Look(); !math.IsInf(at, 1) {
 			again.Reset(time.Duration(max(0, at-f.now())*float64(time.Millisecond)) + time.Millisecond)
 		}
 	}
 }
 
-// look reads the file if it may have changed, takes it if it is good, and says when to look again: +Inf = no sooner
-// than usual.
-func (f *File) look() float64 {
+// Look reads the file if it may have changed, takes it if it is good, and says when to look again: +Inf = no sooner
+// than usual. Run calls it at each notice; without Run, its caller is the only one.
+func (f *File) Look() float64 {
 	st, serr := statFile(f.cfg.Path)
 	var text []byte
 	if serr != nil || st != f.stat || st.recent(f.now()) || f.settler.pending != (sum{}) {
