--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -39,7 +39,7 @@
 // What is kept for a request ends with it, also on a connection that stays, and for deadlines far away.
 func TestNothingIsKeptOfAnsweredRequests(t *testing.T) {
 	s, o := startFake(t, hit), startFake(t, originOK)
-	l, addr := parts(t, 192, 10, box("s-0000000b", s.addr), originAt(o.addr))
+	l, addr := parts(t, 192, 10, box("s-0000000b", s.Addr), originAt(o.Addr))
 	c := dial(t, addr)
 	for i := range 50 {
 		if got := c.ask(read(fmt.Sprint("a", i), 4000000000)); !strings.HasPrefix(got, "VA ") {
@@ -68,10 +68,10 @@
 func TestIDOfAnOpenRequest(t *testing.T) {
 	release := make(chan struct{})
 	s := startFake(t, func(line string) string { <-release; return hit(line) })
-	l, addr := parts(t, 192, 10, box("s-0000000b", s.addr), originAt(s.addr))
+	l, addr := parts(t, 192, 10, box("s-0000000b", s.Addr), originAt(s.Addr))
 	one, two := dial(t, addr), dial(t, addr)
 	one.send(read("a1", 2000) + "\r\n")
-	next(t, s.seen, "request")
+	next(t, s.Seen, "request")
 	if got := two.ask(read("a1", 2000)); !strings.HasPrefix(got, "CLIENT_ERROR ") {
 		t.Errorf("got %q", got)
 	}
@@ -83,8 +83,8 @@
 		t.Errorf("once it is answered: got %q", got)
 	}
 	look(l, func() {
-		if len(s.seen) != 1 {
-			t.Errorf("%d more requests were passed on", len(s.seen))
+		if len(s.Seen) != 1 {
+			t.Errorf("%d more requests were passed on", len(s.Seen))
 		}
 	})
 }
@@ -93,11 +93,11 @@
 func TestSilentClientsAreClosed(t *testing.T) {
 	release := make(chan struct{})
 	o := startFake(t, func(line string) string { <-release; return originOK(line) })
-	r, _ := serving(t, box("s-0000000b", startFake(t, miss).addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", startFake(t, miss).Addr), originAt(o.Addr))
 	began := time.Now()
 	busy := dial(t, r.addr)
 	busy.send(bill("slow", 8000) + "\r\n")
-	next(t, o.seen, "write")
+	next(t, o.Seen, "write")
 	close(release)
 	for name, text := range map[string]string{"silent": "", "half a command": "mg 7f3a", "half a value": "ms k 60000 Oa1 Pc=put,d=900,k=1\r\nabc"} {
 		c := dial(t, r.addr)
@@ -123,10 +123,10 @@
 		}
 		return hit(line)
 	})
-	_, addr := parts(t, 192, 8, box("s-0000000b", s.addr), originAt(s.addr))
+	_, addr := parts(t, 192, 8, box("s-0000000b", s.Addr), originAt(s.Addr))
 	busy := dial(t, addr)
 	busy.send(read("slow", 2000) + "\r\n")
-	next(t, s.seen, "request")
+	next(t, s.Seen, "request")
 	for i := range 40 {
 		dial(t, addr).send("mg half")
 		if i%10 == 0 {
@@ -143,7 +143,7 @@
 
 // The answers before an error reach the client, however much it goes on sending: the connection isn't reset at once.
 func TestAnswersSurviveRejectedInput(t *testing.T) {
-	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).Addr), originAt(startFake(t, originOK).Addr))
 	for range 20 {
 		c := dial(t, r.addr)
 		go io.WriteString(c, read("a1", 2000)+"\r\nms k 62914560 Oa2 Pc=put,d=900,k=1\r\n"+strings.Repeat("x", 100<<10))
@@ -162,7 +162,7 @@
 
 // A client that sends for ever is read for a bounded time and number of bytes.
 func TestEndlessInputIsCutOff(t *testing.T) {
-	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).Addr), originAt(startFake(t, originOK).Addr))
 	c := dial(t, r.addr)
 	c.send("ms k 62914560 Oa2 Pc=put,d=900,k=1\r\n")
 	chunk, sent := make([]byte, 64<<10), 0
@@ -182,7 +182,7 @@
 
 // Unknown commands are told so a few times, and then end the connection.
 func TestUnknownCommandsAreBounded(t *testing.T) {
-	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).Addr), originAt(startFake(t, originOK).Addr))
 	c := dial(t, r.addr)
 	c.send(strings.Repeat("version\r\n", 10*maxUnknown))
 	for range maxUnknown {
@@ -200,7 +200,7 @@
 func TestHeldValuesAreBounded(t *testing.T) {
 	release := make(chan struct{})
 	o := startFake(t, func(line string) string { <-release; return originOK(line) })
-	l, addr := parts(t, 16, 100, originAt(o.addr)) // a budget of 1 MiB
+	l, addr := parts(t, 16, 100, originAt(o.Addr)) // a budget of 1 MiB
 	value := strings.Repeat("v", maxValue)
 	write := func(c *client, id int) {
 		c.send(fmt.Sprintf("ms 7f3a9c21e0b4d655 %d Ow%d Pc=put,t=t,d=2000,k=%d\r\n%s\r\n", maxValue, id, id, value))
@@ -272,7 +272,7 @@
 // the one that has been idle for longest goes when another has asked.
 func TestClientsThatAskOnceGiveWay(t *testing.T) {
 	s := startFake(t, hit)
-	_, addr := parts(t, 192, 8, box("s-0000000b", s.addr), originAt(s.addr))
+	_, addr := parts(t, 192, 8, box("s-0000000b", s.Addr), originAt(s.Addr))
 	began := time.Now()
 	var kept []*client
 	for i := range 5 {
--- a/internal/router/file_test.go
+++ b/internal/router/file_test.go
@@ -138,7 +138,7 @@
 		}
 	}
 	out, stays, o := startFake(t, slow(true)), startFake(t, slow(false)), startFake(t, originOK)
-	f := serveFile(t, serverLine("out", out.addr, "a", ""), serverLine("stays", stays.addr, "a", ""), serverLine("db", o.addr, "a", `, kind = "origin"`))
+	f := serveFile(t, serverLine("out", out.Addr, "a", ""), serverLine("stays", stays.Addr, "a", ""), serverLine("db", o.Addr, "a", `, kind = "origin"`))
 	stop := make(chan struct{})
 	var sent, answered, inFlight, most atomic.Int64
 	var wg sync.WaitGroup
@@ -184,9 +184,9 @@
 func TestRouterOverHalfAFile(t *testing.T) {
 	l := catchLog(t)
 	a, b, o := startFake(t, hit), startFake(t, hit), startFake(t, originOK)
-	f := serveFile(t, serverLine("a", a.addr, "a", ""), serverLine("db", o.addr, "a", `, kind = "origin"`))
+	f := serveFile(t, serverLine("a", a.Addr, "a", ""), serverLine("db", o.Addr, "a", `, kind = "origin"`))
 	c := dial(t, f.r.addr)
-	f.lines = []string{serverLine("b", b.addr, "a", ""), serverLine("db", o.addr, "a", `, kind = "origin"`)}
+	f.lines = []string{serverLine("b", b.Addr, "a", ""), serverLine("db", o.Addr, "a", `, kind = "origin"`)}
 	whole := f.text()
 	for i, cut := range []int{0, 20, len(whole) / 2, len(whole) - 9} {
 		f.write(whole[:cut])
@@ -195,17 +195,17 @@
 			t.Errorf("cut at %d: %q", cut, got)
 		}
 	}
-	if len(b.seen) > 0 {
+	if len(b.Seen) > 0 {
 		t.Error("a server of half a list got a request")
 	}
 	f.write(whole)
-	next(t, a.ended, "end of the connection to the server that has gone")
+	next(t, a.Ended, "end of the connection to the server that has gone")
 	n := 0
 	until(t, "an answer of the new server, which is cold", func() bool {
 		n++
 		return strings.HasPrefix(c.ask(read(fmt.Sprint("y", n), 2000)), "VA 5")
 	})
-	next(t, b.seen, "request at the new server")
+	next(t, b.Seen, "request at the new server")
 }
 
 // A lowered weight counts from then on: the server's keys go elsewhere, and no others move.
@@ -220,9 +220,9 @@
 			if i == 0 {
 				more = weight
 			}
-			out = append(out, serverLine(fmt.Sprint("s", i), s.addr, "a", more))
+			out = append(out, serverLine(fmt.Sprint("s", i), s.Addr, "a", more))
 		}
-		return append(out, serverLine("db", o.addr, "a", `, kind = "origin"`))
+		return append(out, serverLine("db", o.Addr, "a", `, kind = "origin"`))
 	}
 	f := serveFile(t, lines("")...)
 	c := dial(t, f.r.addr)
@@ -234,7 +234,7 @@
 			c.ask(fmt.Sprintf("mg %016x v Ok%d Pc=read,t=t,d=2000", 7919*(key+1), n))
 			for i, s := range fakes {
 				select {
-				case <-s.seen:
+				case <-s.Seen:
 					at[key] = i
 				default:
 				}
@@ -312,7 +312,7 @@
 func TestNewClasses(t *testing.T) {
 	catchLog(t)
 	s, o := startFake(t, hit), startFake(t, originOK)
-	f := serveFile(t, serverLine("a", s.addr, "a", ""), serverLine("db", o.addr, "a", `, kind = "origin"`))
+	f := serveFile(t, serverLine("a", s.Addr, "a", ""), serverLine("db", o.Addr, "a", `, kind = "origin"`))
 	file, faults := config.ParseFile(filepath.Join(filepath.Dir(f.path), "c.toml"), []byte(strings.Replace(fileConfigText, `"read"`, `"fetch"`, 1)))
 	if faults != nil {
 		t.Fatal(faults)
@@ -365,7 +365,7 @@
 func BenchmarkEditsMemory(b *testing.B) {
 	catchLog(b)
 	s, o := startFake(b, hit), startFake(b, originOK)
-	f := serveFile(b, serverLine("a", s.addr, "a", ""), serverLine("db", o.addr, "a", `, kind = "origin"`))
+	f := serveFile(b, serverLine("a", s.Addr, "a", ""), serverLine("db", o.Addr, "a", `, kind = "origin"`))
 	inUse := func() float64 {
 		var m runtime.MemStats
 		runtime.GC()
--- a/internal/router/health_test.go
+++ b/internal/router/health_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mossproxy.example/mossproxy/internal/member"
+	"mossproxy.example/mossproxy/internal/standin"
 )
 
 // flaky is a fleet whose connections end under requests, and the first and last servers that each request came to.
@@ -28,16 +29,16 @@
 		s := startFake(t, func(line string) string {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if _, seen := f.first[idOf(line)]; !seen {
-				f.first[idOf(line)] = i
+			if _, seen := f.first[standin.IDOf(line)]; !seen {
+				f.first[standin.IDOf(line)] = i
 			}
-			f.last[idOf(line)] = i
+			f.last[standin.IDOf(line)] = i
 			if f.count[i]++; f.fails(i, f.count[i]) {
 				return "close"
 			}
 			return "VA 5 O{id} h1 Lqps=3000,util=0.1\r\nhello\r\n" // far from full
 		})
-		entries = append(entries, box(fmt.Sprintf("s-%08x", 11+i), s.addr))
+		entries = append(entries, box(fmt.Sprintf("s-%08x", 11+i), s.Addr))
 	}
 	return f, entries
 }
@@ -59,7 +60,7 @@
 	f, entries := startFlaky(t, 3, func(server, n int) bool {
 		return server == dead || n < 60 && n%6 == 0 || n >= 60 && n%16 < 2
 	})
-	r, _ := serving(t, append(entries, originAt(startFake(t, originOK).addr))...)
+	r, _ := serving(t, append(entries, originAt(startFake(t, originOK).Addr))...)
 	c := dial(t, r.addr)
 	home := map[int]int{}
 	ask := func(i int) (key, first, last int) {
@@ -124,11 +125,11 @@
 			t.Parallel()
 			answer, o := once(cut, hit), startFake(t, originOK) // whichever server is the key's home is cut off
 			s1, s2 := startFake(t, answer), startFake(t, answer)
-			r, _ := serving(t, box("s-0000000b", s1.addr), box("s-0000000c", s2.addr), originAt(o.addr))
+			r, _ := serving(t, box("s-0000000b", s1.Addr), box("s-0000000c", s2.Addr), originAt(o.Addr))
 			if got := dial(t, r.addr).ask(read("a1", 2000)); got != "VA 5 Oa1 hello" {
 				t.Errorf("got %q", got)
 			}
-			if n := [3]int{len(s1.seen), len(s2.seen), len(o.seen)}; n != [3]int{2, 0, 0} && n != [3]int{0, 2, 0} {
+			if n := [3]int{len(s1.Seen), len(s2.Seen), len(o.Seen)}; n != [3]int{2, 0, 0} && n != [3]int{0, 2, 0} {
 				t.Errorf("asked %v times: want one server twice", n)
 			}
 		})
@@ -138,18 +139,18 @@
 // A fetch whose connection ends is made again for a read; a write, which may have run, is not.
 func TestFetchThatWasCutOffIsMadeAgain(t *testing.T) {
 	s, o := startFake(t, miss), startFake(t, once("close", originOK))
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	c := dial(t, r.addr)
 	if got := c.ask(read("a1", 2000)); got != "VA 5 Oa1 fresh" {
 		t.Errorf("got %q", got)
 	}
-	if len(s.seen) != 1 || len(o.seen) != 2 {
-		t.Errorf("the server was asked %d times, the origin %d: want 1 and 2", len(s.seen), len(o.seen))
+	if len(s.Seen) != 1 || len(o.Seen) != 2 {
+		t.Errorf("the server was asked %d times, the origin %d: want 1 and 2", len(s.Seen), len(o.Seen))
 	}
 	o = startFake(t, once("close", originOK))
-	r, _ = serving(t, box("s-0000000b", s.addr), originAt(o.addr))
-	if got := dial(t, r.addr).ask(bill("a2", 2000)); got != "SERVER_ERROR failed" || len(o.seen) != 1 {
-		t.Errorf("a write: got %q after %d attempts", got, len(o.seen))
+	r, _ = serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
+	if got := dial(t, r.addr).ask(bill("a2", 2000)); got != "SERVER_ERROR failed" || len(o.Seen) != 1 {
+		t.Errorf("a write: got %q after %d attempts", got, len(o.Seen))
 	}
 }
 
@@ -159,7 +160,7 @@
 	lose := func(answer func(string) string) func(string) string {
 		var lost sync.Once
 		return func(line string) (got string) {
-			if idOf(line) == "lost" {
+			if standin.IDOf(line) == "lost" {
 				lost.Do(func() { got = "none" })
 			}
 			if got == "none" {
@@ -178,7 +179,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, o := startFake(t, c.server), startFake(t, c.origin)
-			d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(o.addr)))
+			d := startDirectory(t, full(box("s-0000000b", s.Addr), originAt(o.Addr)))
 			cfg := testConfig(t, d.Listener.Addr().String(), member.List{})
 			cfg.Checked.Config.Cancel = true
 			for i := range cfg.Checked.Config.Classes {
@@ -230,7 +231,7 @@
 		return "VA 5 O{id} h1 Lqps=3000,util=0.1\r\nhello\r\n"
 	}
 	s1, s2, o := startFake(t, far), startFake(t, far), startFake(t, originOK)
-	d := startDirectory(t, full(box("s-0000000b", s1.addr), box("s-0000000c", s2.addr), originAt(o.addr)))
+	d := startDirectory(t, full(box("s-0000000b", s1.Addr), box("s-0000000c", s2.Addr), originAt(o.Addr)))
 	cfg := testConfig(t, d.Listener.Addr().String(), member.List{})
 	cfg.Checked.Config.Cancel = true
 	r := start(t, cfg)
@@ -244,7 +245,7 @@
 			t.Errorf("got %q", got)
 		}
 	}
-	if n1, n2 := len(s1.seen), len(s2.seen); n1+n2 != asked || n1 == 0 || n2 == 0 {
+	if n1, n2 := len(s1.Seen), len(s2.Seen); n1+n2 != asked || n1 == 0 || n2 == 0 {
 		t.Errorf("%d requests were asked %d times at the one server, %d times at the other", asked, n1, n2)
 	}
 }
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -15,15 +15,15 @@
 // old watch ends, and what the old one says from then on counts for nothing.
 func TestNewDiscoveryTakesOver(t *testing.T) {
 	a, b, o := startFake(t, hit), startFake(t, hit), startFake(t, originOK)
-	r, old := serving(t, box("s-0000000b", a.addr), originAt(o.addr))
+	r, old := serving(t, box("s-0000000b", a.Addr), originAt(o.Addr))
 	c := dial(t, r.addr)
 
 	tell, ended := make(chan struct{}), make(chan struct{}, 10)
-	second := startDirectory(t, full(box("s-0000000c", b.addr), originAt(o.addr)))
+	second := startDirectory(t, full(box("s-0000000c", b.Addr), originAt(o.Addr)))
 	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-tell:
-			second.Config.Handler.ServeHTTP(w, r)
+			second.ServeHTTP(w, r)
 		case <-r.Context().Done():
 			ended <- struct{}{}
 		}
@@ -34,19 +34,19 @@
 	if got := c.ask(read("a1", 5000)); got != "VA 5 Oa1 hello" {
 		t.Errorf("while the new one is silent: got %q", got)
 	}
-	next(t, a.seen, "request at the server of the list that is held")
-	gone := originAt(o.addr)
+	next(t, a.Seen, "request at the server of the list that is held")
+	gone := originAt(o.Addr)
 	gone.State = "left"
-	old.change(gone) // the watch is over: nobody hears it
+	old.Change(gone) // the watch is over: nobody hears it
 	close(tell)
-	next(t, second.calls, "call for the whole list")
-	next(t, second.calls, "watch")
-	next(t, a.ended, "end of the connection to the server that the new list lacks")
+	next(t, second.Calls, "call for the whole list")
+	next(t, second.Calls, "watch")
+	next(t, a.Ended, "end of the connection to the server that the new list lacks")
 	for i := range 3 {
 		if got := c.ask(read(fmt.Sprint("b", i), 5000)); !strings.HasSuffix(got, "hello") {
 			t.Errorf("after the change: got %q", got)
 		}
-		next(t, b.seen, "request at the server of the new list")
+		next(t, b.Seen, "request at the server of the new list")
 	}
 	if got := c.ask(bill("w", 5000)); got != "HD Ow c5c0f" {
 		t.Errorf("the origin that the old discovery took away: got %q", got)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -15,7 +15,6 @@
 	"path/filepath"
 	"reflect"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +23,7 @@
 
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/member"
+	"mossproxy.example/mossproxy/internal/standin"
 )
 
 // Where the module may cancel, it gives up a read that takes some 15 ms at first: a slow machine would change verdicts.
@@ -48,109 +48,18 @@
 	return ln
 }
 
-// fake is a server on a loopback socket. Each connection is handed to serve, which sees the lines and bodies sent.
-type fake struct {
-	addr  string
-	seen  chan string // first lines of the requests
-	conns atomic.Int32
-	ended chan struct{} // one for each connection that the other side has closed
-}
+// fake is a server on a loopback socket that follows a script.
+type fake = standin.Script
 
-// startFake answers each request with the text of answer: "" says nothing, "close" closes, and "{cut}" ends the
-// connection behind what stands before it.
+// startFake answers each request with the text of answer; standin.Script tells what it may hold.
 func startFake(t testing.TB, answer func(line string) string) *fake {
 	t.Helper()
-	ln := listenLocal(t)
-	f := &fake{addr: ln.Addr().String(), seen: make(chan string, 10000), ended: make(chan struct{}, 10000)}
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var open []net.Conn
-	t.Cleanup(func() {
-		ln.Close()
-		mu.Lock()
-		for _, c := range open {
-			c.Close()
-		}
-		mu.Unlock()
-		wg.Wait()
-	})
-	wg.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			f.conns.Add(1)
-			mu.Lock()
-			open = append(open, c)
-			mu.Unlock()
-			wg.Go(func() {
-				defer c.Close()
-				f.serve(c, answer)
-			})
-		}
-	})
-	return f
-}
-
-func (f *fake) serve(c net.Conn, answer func(string) string) {
-	r := bufio.NewReader(c)
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			f.ended <- struct{}{}
-			return
-		}
-		line = strings.TrimSpace(line)
-		for strings.HasSuffix(line, "HTTP/1.1") { // its headers, of which the id and the facts count
-			h, err := r.ReadString('\n')
-			if err != nil {
-				return
-			}
-			if h = strings.TrimSpace(h); h == "" {
-				line = strings.Replace(line, "HTTP/1.1", "HTTP", 1)
-			} else if strings.HasPrefix(h, "X-") || strings.HasPrefix(h, "Content-Length") {
-				line = strings.Replace(line, "HTTP/1.1", h+" HTTP/1.1", 1)
-			}
-		}
-		var n int
-		if i := strings.Index(line, "Content-Length: "); i >= 0 {
-			fmt.Sscanf(line[i:], "Content-Length: %d", &n)
-		} else if strings.HasPrefix(line, "ms ") {
-			fmt.Sscanf(line, "ms %s %d", new(string), &n)
-			n += 2
-		}
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r, body); err != nil {
-			return
-		}
-		f.seen <- line + " " + strings.TrimSpace(string(body))
-		switch a := answer(line); a {
-		case "":
-		case "close":
-			return
-		default:
-			text := strings.TrimSuffix(strings.ReplaceAll(a, "{id}", idOf(line)), "{cut}")
-			if _, err := io.WriteString(c, text); err != nil {
-				return
-			}
-			if strings.HasSuffix(a, "{cut}") || strings.Contains(a, "Connection: close") {
-				return
-			}
-		}
-	}
-}
-
-// idOf finds the request's id in either protocol.
-func idOf(line string) string {
-	for f := range strings.FieldsSeq(line) {
-		if f[0] == 'O' && len(f) > 1 {
-			return f[1:]
-		}
+	f, err := standin.StartScript(answer)
+	if err != nil {
+		t.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(line, "X-Correlation-Id: ")
-	id, _, _ := strings.Cut(rest, " ")
-	return id
+	t.Cleanup(f.Close)
+	return f
 }
 
 func httpAnswer(status, body string, headers ...string) string {
@@ -178,63 +87,17 @@
 	}
 }
 
-// directory is a discovery service.
-type directory struct {
-	*httptest.Server
-	mu      sync.Mutex
-	lists   []member.List // the whole list first, then changes
-	changed chan struct{}
-	calls   chan string
-}
-
-func startDirectory(t testing.TB, first member.List) *directory {
+// startDirectory starts a discovery service.
+func startDirectory(t testing.TB, first member.List) *standin.Directory {
 	t.Helper()
-	d := &directory{lists: []member.List{first}, changed: make(chan struct{}), calls: make(chan string, 1000)}
-	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.calls <- r.URL.RawQuery
-		after := r.URL.Query().Get("after")
-		for {
-			d.mu.Lock()
-			changed := d.changed
-			for i, l := range d.lists {
-				if after == "" && i == 0 || after != "" && fmt.Sprint(l.Version-1) == after {
-					d.mu.Unlock()
-					json.NewEncoder(w).Encode(l)
-					return
-				}
-			}
-			d.mu.Unlock()
-			ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-			select {
-			case <-changed:
-			case <-time.After(time.Duration(ms) * time.Millisecond):
-				json.NewEncoder(w).Encode(member.List{Version: last(after)})
-				return
-			case <-r.Context().Done():
-				return
-			}
-		}
-	}))
-	t.Cleanup(func() { d.CloseClientConnections(); d.Close() })
+	d, err := standin.StartDirectory(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
 	return d
 }
 
-// last is the version that a watch has seen.
-func last(after string) int64 {
-	v, _ := strconv.ParseInt(after, 10, 64)
-	return v
-}
-
-// change tells of a change.
-func (d *directory) change(entries ...member.Entry) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	last := d.lists[len(d.lists)-1]
-	d.lists = append(d.lists, member.List{Version: last.Version + 1, Servers: entries})
-	close(d.changed)
-	d.changed = make(chan struct{})
-}
-
 func box(id, addr string) member.Entry {
 	return member.Entry{ID: id, Addr: addr, Zone: "a", Kind: "box", State: "active", Weight: 1}
 }
@@ -296,12 +159,12 @@
 }
 
 // serving starts a router over a list that discovery gives, and waits until it is ready.
-func serving(t testing.TB, entries ...member.Entry) (*running, *directory) {
+func serving(t testing.TB, entries ...member.Entry) (*running, *standin.Directory) {
 	t.Helper()
 	d := startDirectory(t, full(entries...))
 	r := start(t, testConfig(t, d.Listener.Addr().String(), member.List{}))
-	next(t, d.calls, "call for the list")
-	next(t, d.calls, "watch")
+	next(t, d.Calls, "call for the list")
+	next(t, d.Calls, "watch")
 	c := dial(t, r.addr)
 	for c.ask("mn") != "MN" {
 	}
@@ -376,28 +239,28 @@
 
 func TestHitIsServedAndPassedOnAsItCame(t *testing.T) {
 	s, o := startFake(t, hit), startFake(t, originOK)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	c := dial(t, r.addr)
 	if got := c.ask("mg 7f3a9c21e0b4d655 v Oa1 Pc=read,t=t,zz=9,d=480,k=7,h=52000"); got != "VA 5 Oa1 hello" {
 		t.Errorf("got %q", got)
 	}
 	var d int
-	got := next(t, s.seen, "request")
+	got := next(t, s.Seen, "request")
 	if n, err := fmt.Sscanf(got, "mg 7f3a9c21e0b4d655 v Oa1 Pc=read,t=t,zz=9,d=%d,k=7,h=52000", &d); n != 1 || err != nil || d < 1 || d > 480 {
 		t.Errorf("the cache server got %q", got)
 	}
-	if len(o.seen) > 0 {
+	if len(o.Seen) > 0 {
 		t.Error("a hit went to the origin too")
 	}
 }
 
 func TestMissIsFetchedFromTheOrigin(t *testing.T) {
 	s, o := startFake(t, miss), startFake(t, originOK)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	if got := dial(t, r.addr).ask(read("a1", 480)); got != "VA 5 Oa1 fresh" {
 		t.Errorf("got %q", got)
 	}
-	got := next(t, o.seen, "fetch")
+	got := next(t, o.Seen, "fetch")
 	if !strings.HasPrefix(got, "GET /7f3a9c21e0b4d655 ") || !strings.Contains(got, "X-Facts: c=read,t=t,d=480,h=52000,size=5 ") {
 		t.Errorf("the origin got %q", got)
 	}
@@ -405,14 +268,14 @@
 
 func TestWriteGoesToTheOriginOnce(t *testing.T) {
 	s, o := startFake(t, miss), startFake(t, originOK)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	if got := dial(t, r.addr).ask(bill("a1", 480)); got != "HD Oa1 c5c0f" {
 		t.Errorf("got %q", got)
 	}
-	if got := next(t, o.seen, "write"); !strings.HasPrefix(got, "PUT /7f3a9c21e0b4d655 ") || !strings.HasSuffix(got, " abc") {
+	if got := next(t, o.Seen, "write"); !strings.HasPrefix(got, "PUT /7f3a9c21e0b4d655 ") || !strings.HasSuffix(got, " abc") {
 		t.Errorf("the origin got %q", got)
 	}
-	if len(s.seen)+len(o.seen) > 0 {
+	if len(s.Seen)+len(o.Seen) > 0 {
 		t.Error("the write was sent twice")
 	}
 }
@@ -430,7 +293,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, o := startFake(t, miss), startFake(t, func(string) string { return c.answer })
-			r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+			r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 			cl, began := dial(t, r.addr), time.Now()
 			if got := cl.ask(bill("a1", 300)); !strings.HasPrefix(got, c.want) {
 				t.Errorf("got %q, want %q", got, c.want)
@@ -438,9 +301,9 @@
 			if took := time.Since(began); took > 300*time.Millisecond+time.Second {
 				t.Errorf("answered after %v", took)
 			}
-			next(t, o.seen, "write")
+			next(t, o.Seen, "write")
 			cl.nothingMore()
-			if len(o.seen)+len(s.seen) > 0 {
+			if len(o.Seen)+len(s.Seen) > 0 {
 				t.Error("sent again")
 			}
 		})
@@ -450,7 +313,7 @@
 // A cache server that says nothing: the client has one answer by its deadline, and the attempt is given up.
 func TestSilentServerIsGivenUpAtTheDeadline(t *testing.T) {
 	s, o := startFake(t, func(string) string { return "" }), startFake(t, originOK)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	c, began := dial(t, r.addr), time.Now()
 	if got := c.ask(read("a1", 200)); !strings.HasPrefix(got, "SERVER_ERROR busy") {
 		t.Errorf("got %q", got)
@@ -458,14 +321,14 @@
 	if took := time.Since(began); took < 190*time.Millisecond || took > 1200*time.Millisecond {
 		t.Errorf("answered after %v", took)
 	}
-	next(t, s.ended, "end of the attempt's connection")
+	next(t, s.Ended, "end of the attempt's connection")
 	c.nothingMore()
 }
 
 // An attempt that the module cancels ends at once, with its connection, and the client has one answer.
 func TestCanceledAttemptIsGivenUp(t *testing.T) {
 	s, o := startFake(t, func(string) string { return "" }), startFake(t, originOK)
-	d := startDirectory(t, full(box("s-0000000b", s.addr), originAt(o.addr)))
+	d := startDirectory(t, full(box("s-0000000b", s.Addr), originAt(o.Addr)))
 	cfg := testConfig(t, d.Listener.Addr().String(), member.List{})
 	cfg.Checked.Config.Cancel = true
 	r := start(t, cfg)
@@ -476,7 +339,7 @@
 	if got := c.ask(read("a1", 8000)); !strings.HasPrefix(got, "SERVER_ERROR busy") {
 		t.Errorf("got %q", got)
 	}
-	next(t, s.ended, "end of the attempt's connection")
+	next(t, s.Ended, "end of the attempt's connection")
 	if took := time.Since(began); took > 5*time.Second {
 		t.Errorf("given up after %v", took)
 	}
@@ -485,12 +348,12 @@
 
 func TestClientThatLeavesEndsItsAttempt(t *testing.T) {
 	s, o := startFake(t, func(string) string { return "" }), startFake(t, originOK)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	c := dial(t, r.addr)
 	c.send(read("a1", 60000) + "\r\n")
-	next(t, s.seen, "request")
+	next(t, s.Seen, "request")
 	c.Close()
-	next(t, s.ended, "end of the attempt's connection")
+	next(t, s.Ended, "end of the attempt's connection")
 }
 
 func TestAnswersComeInTheOrderOfCommands(t *testing.T) {
@@ -503,19 +366,19 @@
 	})
 	let := sync.OnceFunc(func() { close(first) })
 	t.Cleanup(let)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(startFake(t, originOK).addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(startFake(t, originOK).Addr))
 	c := dial(t, r.addr)
 	c.send(read("a1", 5000) + "\r\n" + read("a2", 5000) + "\r\nversion\r\n")
-	next(t, s.seen, "request")
-	next(t, s.seen, "request behind it, on a connection of its own")
+	next(t, s.Seen, "request")
+	next(t, s.Seen, "request behind it, on a connection of its own")
 	let()
 	for _, want := range []string{"VA 5 Oa1 hello", "VA 5 Oa2 hello", "ERROR"} {
 		if got := c.line(); got != want {
 			t.Errorf("got %q, want %q", got, want)
 		}
 	}
-	if s.conns.Load() != 2 {
-		t.Errorf("%d connections carried two requests at once, want 2", s.conns.Load())
+	if s.Conns.Load() != 2 {
+		t.Errorf("%d connections carried two requests at once, want 2", s.Conns.Load())
 	}
 }
 
@@ -524,17 +387,17 @@
 		t.Run(state, func(t *testing.T) {
 			t.Parallel()
 			s, o := startFake(t, hit), startFake(t, originOK)
-			e := box("s-0000000b", s.addr)
-			r, d := serving(t, e, originAt(o.addr))
+			e := box("s-0000000b", s.Addr)
+			r, d := serving(t, e, originAt(o.Addr))
 			c := dial(t, r.addr)
 			c.ask(read("a1", 2000))
-			next(t, s.seen, "request")
+			next(t, s.Seen, "request")
 			e.State = state
 			began := time.Now()
-			d.change(e)
-			next(t, d.calls, "watch after the change")
+			d.Change(e)
+			next(t, d.Calls, "watch after the change")
 			if state == "left" {
-				next(t, s.ended, "end of the kept connection")
+				next(t, s.Ended, "end of the kept connection")
 				if took := time.Since(began); took > 5*time.Second { // else it only ran out
 					t.Errorf("closed after %v", took)
 				}
@@ -542,7 +405,7 @@
 			for i := range 5 {
 				c.ask(read(fmt.Sprint("b", i), 2000))
 			}
-			if len(s.seen) > 0 {
+			if len(s.Seen) > 0 {
 				t.Error("sent to a server that drains")
 			}
 		})
@@ -555,7 +418,7 @@
 	ln := listenLocal(t)
 	ln.Close() // refuses
 	for range 2 {
-		r := start(t, testConfig(t, ln.Addr().String(), full(box("s-0000000b", s.addr), originAt(o.addr))))
+		r := start(t, testConfig(t, ln.Addr().String(), full(box("s-0000000b", s.Addr), originAt(o.Addr))))
 		c := dial(t, r.addr)
 		for c.ask("mn") != "MN" {
 		}
@@ -588,10 +451,10 @@
 	})
 	let := sync.OnceFunc(func() { close(release) })
 	t.Cleanup(let)
-	r, _ := serving(t, box("s-0000000b", s.addr), originAt(o.addr))
+	r, _ := serving(t, box("s-0000000b", s.Addr), originAt(o.Addr))
 	idle, busy := dial(t, r.addr), dial(t, r.addr)
 	busy.send(bill("slow", 8000) + "\r\n") // a write, which the module never gives up early
-	next(t, o.seen, "write")
+	next(t, o.Seen, "write")
 	r.stop()
 	time.Sleep(300 * time.Millisecond) // new connections come for up to 0.4 s: time itself is what is tested
 	late := dial(t, r.addr)
@@ -614,7 +477,7 @@
 }
 
 func TestMalformedClientInput(t *testing.T) {
-	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).Addr), originAt(startFake(t, originOK).Addr))
 	for _, in := range []string{
 		"\r\n", "mg\r\n", "mg k v\r\n", "mg k v Oa1 Pc=read,d=x\r\n", "mg k v Oa1 Pc=read,d=-1\r\n", "mg k v Oa1 Pc=read,d=NaN\r\n",
 		"mg k v Oa1\r\n", "ms k\r\n", "ms k -3 Oa1 Pc=put,d=9\r\n", "ms k 70000 Oa1 Pc=put,d=9\r\n", "ms k 2 Oa1 Pc=put,d=9\r\nabcdef\r\n",
@@ -640,7 +503,7 @@
 
 // More clients than there are sockets for: idle connections make room, and all are served.
 func TestIdleClientsMakeRoom(t *testing.T) {
-	r, _ := serving(t, box("s-0000000b", startFake(t, hit).addr), originAt(startFake(t, originOK).addr))
+	r, _ := serving(t, box("s-0000000b", startFake(t, hit).Addr), originAt(startFake(t, originOK).Addr))
 	for i := range 300 {
 		if got := dial(t, r.addr).ask(read(fmt.Sprint(i), 5000)); got != fmt.Sprintf("VA 5 O%d hello", i) {
 			t.Fatalf("client %d got %q", i, got)
@@ -803,13 +666,13 @@
 // A server that has started anew: connections to the process before it are closed.
 func TestRestartedServerGetsNewConnections(t *testing.T) {
 	s, o := startFake(t, hit), startFake(t, originOK)
-	e := box("s-0000000b", s.addr)
-	r, d := serving(t, e, originAt(o.addr))
+	e := box("s-0000000b", s.Addr)
+	r, d := serving(t, e, originAt(o.Addr))
 	dial(t, r.addr).ask(read("a1", 2000))
 	e.Started = float64(time.Now().UnixMilli())
 	began := time.Now()
-	d.change(e)
-	next(t, s.ended, "end of the old connection")
+	d.Change(e)
+	next(t, s.Ended, "end of the old connection")
 	if took := time.Since(began); took > 5*time.Second { // else it only ran out
 		t.Errorf("closed after %v", took)
 	}
@@ -819,7 +682,7 @@
 // time, and the news of a drain comes with the whole list.
 func TestSilentWatchIsGivenUp(t *testing.T) {
 	s1, s2, o := startFake(t, hit), startFake(t, hit), startFake(t, originOK)
-	servers := full(box("s-0000000b", s1.addr), box("s-0000000c", s2.addr), originAt(o.addr))
+	servers := full(box("s-0000000b", s1.Addr), box("s-0000000c", s2.Addr), originAt(o.Addr))
 	drained := full(servers.Servers...)
 	drained.Version, drained.Servers = 2, slices.Clone(drained.Servers)
 	drained.Servers[0].State = "leaving"
@@ -851,7 +714,7 @@
 	for i := range 20 {
 		c.ask(fmt.Sprintf("mg %016x v O%x Pc=read,t=t,d=2000,h=52000,size=5", 7919*(i+1), i))
 	}
-	if len(s1.seen) > 0 || len(s2.seen) != 20 {
-		t.Errorf("%d requests to the draining server, %d to the other", len(s1.seen), len(s2.seen))
+	if len(s1.Seen) > 0 || len(s2.Seen) != 20 {
+		t.Errorf("%d requests to the draining server, %d to the other", len(s1.Seen), len(s2.Seen))
 	}
 }
--- a/internal/router/upstream_test.go
+++ b/internal/router/upstream_test.go
@@ -117,7 +117,7 @@
 			t.Parallel()
 			f := startFake(t, func(string) string { return c.answer })
 			u := testUpstreams(t, 10*time.Second, 10)
-			target, cmd := u.add(f.addr, c.origin), getCommand()
+			target, cmd := u.add(f.Addr, c.origin), getCommand()
 			if c.write {
 				cmd = putCommand()
 			}
@@ -125,8 +125,8 @@
 			if got.status != c.want || got.note != c.note {
 				t.Errorf("got status %v, note %d; want %v, %d", got.status, got.note, c.want, c.note)
 			}
-			next(t, f.seen, "request")
-			if len(f.seen) > 0 {
+			next(t, f.Seen, "request")
+			if len(f.Seen) > 0 {
 				t.Error("sent twice")
 			}
 			if kept := len(idle(u, target)) == 1; kept != c.reused {
@@ -156,7 +156,7 @@
 		}
 		return httpAnswer("200 OK", "fresh")
 	})
-	target := u.add(f.addr, true)
+	target := u.add(f.Addr, true)
 	for n := range 3 {
 		if got := u.attempt(t.Context(), target, putCommand(), 400, always); got.status != decide.OK {
 			t.Fatalf("request %d: got %v", n, got.status)
@@ -165,7 +165,7 @@
 			time.Sleep(time.Millisecond) // until the end has come over the socket
 		}
 	}
-	if n := f.conns.Load(); n != 3 {
+	if n := f.Conns.Load(); n != 3 {
 		t.Errorf("%d connections, want one for each request", n)
 	}
 }
@@ -173,9 +173,9 @@
 func TestIdleConnectionsAreClosedAheadOfTheServer(t *testing.T) {
 	f := startFake(t, hit)
 	u := testUpstreams(t, 400*time.Millisecond, 10)
-	target, began := u.add(f.addr, false), time.Now()
+	target, began := u.add(f.Addr, false), time.Now()
 	u.attempt(t.Context(), target, getCommand(), 400, always)
-	next(t, f.ended, "end of the idle connection")
+	next(t, f.Ended, "end of the idle connection")
 	if took := time.Since(began); took < 200*time.Millisecond || took > 3*time.Second {
 		t.Errorf("closed after %v", took)
 	}
@@ -189,14 +189,14 @@
 func TestSocketLimit(t *testing.T) {
 	u := testUpstreams(t, 10*time.Second, 1)
 	f, silent := startFake(t, hit), startFake(t, func(string) string { return "" })
-	a, b := u.add(f.addr, false), u.add(silent.addr, false)
+	a, b := u.add(f.Addr, false), u.add(silent.Addr, false)
 	if got := u.attempt(t.Context(), a, getCommand(), 400, always); got.status != decide.OK {
 		t.Fatalf("got %v", got.status)
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan reply, 1)
 	go func() { done <- u.attempt(ctx, b, getCommand(), 400, always) }() // takes the place of the idle one
-	next(t, silent.seen, "request")
+	next(t, silent.Seen, "request")
 	if got := u.attempt(t.Context(), a, getCommand(), 400, always); got.status != decide.Ignored {
 		t.Errorf("beyond the limit: got %v", got.status)
 	}
@@ -211,13 +211,13 @@
 func TestCalledOffAttemptIsNotWritten(t *testing.T) {
 	f := startFake(t, hit)
 	u := testUpstreams(t, 10*time.Second, 10)
-	target := u.add(f.addr, false)
+	target := u.add(f.Addr, false)
 	u.attempt(t.Context(), target, getCommand(), 400, func() bool { return false })
 	if got := u.attempt(t.Context(), target, getCommand(), 400, always); got.status != decide.OK {
 		t.Errorf("got %v", got.status)
 	}
-	next(t, f.seen, "request")
-	if len(f.seen) > 0 || f.conns.Load() != 1 {
+	next(t, f.Seen, "request")
+	if len(f.Seen) > 0 || f.Conns.Load() != 1 {
 		t.Error("the attempt that was called off was written")
 	}
 }
@@ -226,12 +226,12 @@
 	u := testUpstreams(t, 10*time.Second, 10)
 	f := startFake(t, func(string) string { return "STAT qps 12\r\nSTAT util 0.5\r\nEND\r\n" })
 	o := startFake(t, func(string) string { return httpAnswer("200 OK", "", "X-Backend-Load: qps=12,util=0.5") })
-	for _, target := range []*target{u.add(f.addr, false), u.add(o.addr, true)} {
+	for _, target := range []*target{u.add(f.Addr, false), u.add(o.Addr, true)} {
 		if st, l := u.probe(t.Context(), target); st != decide.OK || l.QPS != 12 || l.Util != 0.5 {
 			t.Errorf("origin %v: got %v, %+v", target.origin, st, l)
 		}
 	}
-	if st, _ := u.probe(t.Context(), u.add(startFake(t, func(string) string { return "ERROR\r\n" }).addr, false)); st == decide.OK {
+	if st, _ := u.probe(t.Context(), u.add(startFake(t, func(string) string { return "ERROR\r\n" }).Addr, false)); st == decide.OK {
 		t.Error("an error passed for a report")
 	}
 }
@@ -240,7 +240,7 @@
 func TestKeptConnectionsTakeTurns(t *testing.T) {
 	f := startFake(t, hit)
 	u := testUpstreams(t, 10*time.Second, 10)
-	target := u.add(f.addr, false)
+	target := u.add(f.Addr, false)
 	first, err := u.take(t.Context(), target)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -92,8 +92,8 @@
 			continue
 		}
 		c.conns[conn] = struct{}{}
-		c.wg.Go(func() { c.serve(conn) })
 		c.mu.Unlock()
+		c.wg.Go(func() { c.serve(conn) })
 	}
 }
 
@@ -263,7 +263,7 @@
 	case len(f) < 4 || f[0] != "mg" && f[0] != "ms":
 		return "ERROR\r\n", nil
 	}
-	id := idOf(f)
+	id := IDOf(strings.Join(f, " "))
 	due, hit, m, ok := c.work(id, f[1], f[0])
 	switch {
 	case m == Drops || m == Dead:
@@ -326,16 +326,6 @@
 // receipt is what a write gets.
 func receipt(id string) string { return "r" + id }
 
-// idOf finds the id among the words of a command.
-func idOf(f []string) string {
-	for _, w := range f {
-		if len(w) > 1 && w[0] == 'O' {
-			return w[1:]
-		}
-	}
-	return ""
-}
-
 // clock is Unix time in ms that never runs backwards.
 type clock struct{ start time.Time }
 
--- /dev/null
+++ b/internal/standin/directory.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/member"
+)
+
+// Directory is a discovery service: a whole list, and changes to it.
+type Directory struct {
+	Listener net.Listener
+	Calls    chan string // the queries of calls, as they come
+
+	srv     *http.Server
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	lists   []member.List // the whole list first, then changes
+	changed chan struct{}
+}
+
+// maxCalls bounds the calls that wait to be looked at; later ones are not told of.
+const maxCalls = 1000
+
+// StartDirectory starts a discovery service with its first list, which is whole.
+func StartDirectory(first member.List) (*Directory, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in discovery: %w", err)
+	}
+	life, stop := context.WithCancel(context.Background())
+	d := &Directory{Listener: ln, Calls: make(chan string, maxCalls), stop: stop, lists: []member.List{first}, changed: make(chan struct{})}
+	d.srv = &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return life }}
+	d.wg.Go(func() { d.srv.Serve(ln) }) //nolint:errcheck // ends when it is closed
+	return d, nil
+}
+
+// Close ends the service and all watches.
+func (d *Directory) Close() {
+	d.stop()
+	d.srv.Close()
+	d.wg.Wait()
+}
+
+// Change tells of changed entries.
+func (d *Directory) Change(entries ...member.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := d.lists[len(d.lists)-1]
+	d.lists = append(d.lists, member.List{Version: last.Version + 1, Servers: entries})
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// ServeHTTP answers a call for the list, or a watch.
+func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case d.Calls <- r.URL.RawQuery:
+	default:
+	}
+	after := r.URL.Query().Get("after")
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	end := time.After(time.Duration(ms) * time.Millisecond)
+	for {
+		l, changed, ok := d.newer(after)
+		if ok {
+			json.NewEncoder(w).Encode(l) //nolint:errcheck // the router may have left
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			v, _ := strconv.ParseInt(after, 10, 64)
+			json.NewEncoder(w).Encode(member.List{Version: v}) //nolint:errcheck // as above
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// newer is the list that follows a version, the whole one after "", and what is closed when there is a further one.
+func (d *Directory) newer(after string) (member.List, <-chan struct{}, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, l := range d.lists {
+		if after == "" && i == 0 || after != "" && fmt.Sprint(l.Version-1) == after {
+			return l, d.changed, true
+		}
+	}
+	return member.List{}, d.changed, false
+}
