--- a/decide/api.go
+++ b/decide/api.go
@@ -286,7 +286,7 @@
 func (b *Balancer) begin(now float64) {
 	if b.now = now; b.began < 0 {
 		b.began, b.solvedAt = now, now
-		b.host.Timer(100, tickToken)
+		b.host.Timer(tick, tickToken)
 	}
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,18 +6,103 @@
 	"slices"
 )
 
+// The hash table and the solver.
 const (
 	tableBits = 13   // memento-hash table of 8192 buckets, so that claims seldom clash
 	claims    = 64   // buckets that a server claims, of a weight of 1 where weights count
 	maxClaims = 1024 // and with the highest weight
 	listLen   = 6    // candidates of a key
-	hotSeen   = 1.5  // arrivals in memory from which a key is solved singly; the hottest 32 at most
-	epsilon   = 1e-3 // relative change of F that ends the sweeps; 40 at most
-	keyTau    = 5000 // memory of the rates of keys and tenants, ms
-	sendTau   = 2000 // memory of own sends to a server, ms
-	minPause  = 500  // first pause of an ejected server, ms; doubles up to eight times that
-	maxStrike = 3    // signs of silence that eject
-	maxDoubt  = 7.5  // doubt that ejects: two failures in a row where they are rare, six at one in eight
+
+	hotSeen      = 1.5   // arrivals in memory from which a key is solved singly,
+	hottest      = 32    // for so many at most: they hold most of the traffic that one server can't
+	epsilon      = 1e-3  // relative change of F that ends the sweeps,
+	maxSweeps    = 40    // and their number, which bounds the work of a key
+	newtonStep   = 0.5   // of equation (10)
+	scaledTo     = 0.9   // utilisation that is solved for, as in the paper
+	maxChannels  = 256   // of a modelled server: the work of a delay grows with them
+	guessedRate  = 4000  // over the mean latency: four channels, for a server of unknown capacity
+	leastPortion = 0.5   // of the equal part of all traffic is taken for own at least, whatever reports say
+	tick         = 100   // ms between two rounds of housekeeping,
+	solveEvery   = 1000  // between two solves,
+	solveSoon    = 250   // and where something calls for one: lists come in bursts
+	watchAgain   = 5000  // before the list is asked for again without an answer
+	probeEvery   = 700   // between two probes of a server: reports live for about a second
+	probeShare   = 0.15  // probes that a request pays for,
+	maxProbes    = 4     // and that are saved up
+	oldReport    = 10000 // ms after which what was stored, or a latency's floor, tells little
+)
+
+// Memories, in ms.
+const (
+	keyTau  = 5000 // of the rates of keys and tenants
+	sendTau = 2000 // of own sends to a server
+	seenTau = 1000 // of a latency as a sign of a queue: a refusal must not last for good
+	jamTau  = 2000 // of what the whole fleet's latency says
+)
+
+// Health.
+const (
+	minPause    = 500  // first pause of an ejected server, ms,
+	maxPause    = 8    // which doubles up to so many times that
+	maxStrike   = 3    // signs of silence that eject
+	maxDoubt    = 7.5  // doubt that ejects: two failures in a row where they are rare, six at one in eight
+	failKeeps   = 0.88 // share of its acceptance that a server keeps at a failure: over eight outcomes
+	spoiltKeeps = 1.07 // and is given back where the answer was spoilt on the way, from any alike
+	okGains     = 0.12 // share of the missing acceptance that a success brings back, as slowly
+	pauseFade   = 0.8  // of the pause at a success: five undo a doubling or so
+	trialBack   = 0.75 // acceptance after a trial: half of the channels
+	silentFor   = 8000 // ms that a trial of a silent server may be overdue: it costs a request its time
+	leastKeep   = 200  // ms that idle connections are kept at least
+	keepGrows   = 1.01 // a success lengthens it by this factor; a refused connection halves it
+	lostTells   = 0.2  // weight of one attempt in the share of lost answers: over five
+	stretched   = 0.5  // an overtaken attempt is waited for that much longer
+)
+
+// Attempts.
+const (
+	sparePer    = 0.2  // further attempts that a request pays for: retries must not become a storm
+	maxSpare    = 20   // and that are saved up
+	patient     = 1.2  // multiple of the expected time that an attempt gets at least,
+	mostPatient = 3    // and at most
+	nextNeeds   = 1.5  // of the expected time is left for another attempt
+	firstGets   = 0.75 // of the aim, for a server that is unknown or on trial
+	fetchWaits  = 2    // multiple of the latency of fetches after which one is looked at
+	leastTime   = 5    // ms: no server is expected to be quicker, nor a wait for a fetch to end well after it
+	deviations  = 2    // of a count that are no chance: arrivals over a tenant's part
+	workTells   = 0.2  // weight of a request in its key's mean work: over five
+	latTells    = 0.2  // weight of a unit of work in a server's latency,
+	latMost     = 0.5  // and of a heavy request at most
+	jamTells    = 0.1  // weight of an outcome in the fleet's latency, and of a fetch in the fetches'
+)
+
+// The wait that is borne, as a share of the aim.
+const (
+	bearWorth = 0.55   // on top, for what is worth most
+	bearMost  = 0.25   // of what all bear: fixed, idle servers refused and choked ones were late,
+	bearUp    = 0.0005 // so it rises with each answer
+	bearDown  = 0.01   // and falls with each late one: one in twenty holds it level
+	ownTime   = 0.7    // of a server's floor that is left for the work itself
+)
+
+// Fetches at the origin.
+const (
+	maxFetches  = 64   // out at once of one router
+	fetchGrows  = 0.25 // of the bound a good answer adds at most,
+	fetchShare  = 4    // or this over the routers: a tier grows together
+	leastShare  = 8    // over the routers, the bound's least, two at most
+	cutPause    = 500  // ms between two cuts: answers of before tell nothing new
+	cutSlow     = 0.8  // of the bound is left when answers slow,
+	cutFailed   = 0.4  // and when they fail: the origin has stopped, or works for those that have left
+	deepest     = 40   // times lower its least is then
+	slowFloor   = 1.3  // multiple of the floor that is no queue yet,
+	slowMost    = 2.5  // and that is one whatever the aim
+	halfAim     = 0.5  // beyond that share of the aim a queue serves nobody, as the cache came first,
+	mostAim     = 0.8  // and beyond that one it does not, whatever the floor
+	leastFetch  = 100  // ms that a fetch is taken for where the bound is under one
+	coldShare   = 0.4  // of what pushes a cold server over is spent: hints and reports are rough
+	coldLate    = 1.5  // times the cold phase: the news of a start may have been late
+	coldWindow  = 6    // parts of the window that a burst may fill
+	guessedCold = 10   // requests a second of a cold server of unknown capacity
 )
 
 // Servers takes a list update.
@@ -53,7 +138,7 @@
 	case ok || st == Failed || st == QueueFull || st == Spoilt:
 		s.reply, s.strikes, s.passed = b.now, 0, max(s.passed, sent)
 	case st == ConnectError: // dead, or its table is full of idle connections: all routers hold fewer
-		b.keep = max(200, b.keep/2)
+		b.keep = max(leastKeep, b.keep/2)
 	case st == Reset:
 	case s.reply < sent:
 		s.strikes++
@@ -69,18 +154,18 @@
 		s.weigh(!ok, b.usual)
 	}
 	if !ok {
-		if s.accept *= 0.88; st == Spoilt { // over eight outcomes: who fails fast must look expensive
-			s.accept *= 1.07 // on the way, from any alike: one that spoils most still goes out
+		if s.accept *= failKeeps; st == Spoilt { // who fails fast must look expensive
+			s.accept *= spoiltKeeps // one that spoils most still goes out
 		}
 		if s.ejected || s.doubt >= maxDoubt || s.strikes >= maxStrike {
 			b.eject(s, st == TimedOut)
 		}
 		return
 	}
-	b.keep = min(b.cfg.ConnIdle, 1.01*b.keep)
-	s.accept, s.pause = s.accept+0.12*(1-s.accept), 0.8*s.pause
+	b.keep = min(b.cfg.ConnIdle, keepGrows*b.keep)
+	s.accept, s.pause = s.accept+okGains*(1-s.accept), pauseFade*s.pause
 	if s.ejected { // the trial came back: in again at half its channels, and half way out
-		s.ejected, s.accept, s.doubt, b.dirty = false, 0.75, maxDoubt/2, true
+		s.ejected, s.accept, s.doubt, b.dirty = false, trialBack, maxDoubt/2, true
 	}
 }
 
@@ -92,10 +177,10 @@
 	if s.ejected && b.now < s.trial { // sent before it went out: no trial has failed
 		return
 	}
-	s.pause = min(8*minPause, max(minPause, 2*s.pause))
+	s.pause = min(maxPause*minPause, max(minPause, 2*s.pause))
 	s.trial = b.now + s.pause*(0.75+0.5*b.rng.Float64()) // or all routers try at once
-	if s.overdue = s.trial; silent {                     // a trial costs a request its time
-		s.overdue += 8000
+	if s.overdue = s.trial; silent {
+		s.overdue += silentFor
 	}
 	s.ejected, b.dirty = true, b.dirty || !s.ejected
 }
@@ -103,10 +188,10 @@
 // waitAt is the wait that a new request will find: by Little's law others hold their rate times the latency
 // seen, which fades, or one refusal would last for good. Own attempts out are known.
 func (b *Balancer) waitAt(s *server) float64 {
-	seen := math.Exp((s.lat.at - b.now) / 1000)
+	seen := math.Exp((s.lat.at - b.now) / seenTau)
 	others := max(0, s.qps-b.perSecond(&s.sent, sendTau)) * s.lat.v / 1000 * seen
 	// Where each server is seldom asked, what all show is the best guess of a queue, and the only one.
-	guess := (b.jam.v - b.jam.floor) * math.Exp((b.jam.at-b.now)/2000)
+	guess := (b.jam.v - b.jam.floor) * math.Exp((b.jam.at-b.now)/jamTau)
 	if !s.ejected { // one taken for sick, tried as the last resort, has no better
 		guess *= b.seldom()
 	}
@@ -118,7 +203,7 @@
 	if s.cap.v > 0 {
 		return s.cap.v
 	}
-	return b.typical(s, 4000/max(1, b.x.mean)) // or four channels
+	return b.typical(s, guessedRate/max(1, b.x.mean))
 }
 
 // candidates leaves out the servers that can't be used: they are skipped in their place.
@@ -139,12 +224,12 @@
 				low = j
 			}
 		}
-		if sweep == 40 || sweep > 0 && math.Abs(f-was) <= epsilon*f {
+		if sweep == maxSweeps || sweep > 0 && math.Abs(f-was) <= epsilon*f {
 			return f
 		}
 		for j := range v {
 			if j != low {
-				x[j] = max(0, x[j]-0.5*(d[j]-d[low])/(h[j]+h[low]+1e-12)) // equation (10)
+				x[j] = max(0, x[j]-newtonStep*(d[j]-d[low])/(h[j]+h[low]+1e-12)) // equation (10)
 				rest -= x[j]
 			}
 		}
@@ -186,7 +271,8 @@
 func (b *Balancer) model() {
 	mu, mean, mine, total, room := 1000/max(1, b.x.mean), b.survey(), 0.0, 0.0, 0.0
 	for _, s := range b.order {
-		s.mu, s.n = mu, int(min(256, max(1, b.capacity(s)*s.accept*s.accept*b.warmth(s)/mu))) // bounds work
+		channels := b.capacity(s) * s.accept * s.accept * b.warmth(s) / mu
+		s.mu, s.n = mu, int(min(maxChannels, max(1, channels)))
 		own := b.perSecond(&s.sent, sendTau)
 		fresh := math.Exp((s.heard - b.now) / keyTau) // an old report tells the mean, hot keys come on top
 		s.load, s.hot = fresh*max(0, s.qps-own-s.hot)+(1-fresh)*mean, 0
@@ -195,9 +281,9 @@
 		}
 	}
 	if b.portion = 1 / float64(b.cfg.Routers); mean > 0 {
-		b.portion = max(mine/max(total, mine, 1e-3), 0.5*b.portion)
+		b.portion = max(mine/max(total, mine, 1e-3), leastPortion*b.portion)
 	}
-	b.scale = 0.9 * room / max(total, 1e-3)
+	b.scale = scaledTo * room / max(total, 1e-3)
 	for _, s := range b.order {
 		s.load *= b.scale
 	}
@@ -215,7 +301,7 @@
 		c, lam := b.candidates(k), b.perSecond(&k.rate, mem)*k.work*b.scale
 		switch {
 		case len(c) == 0:
-		case i < 32 && k.rate.v >= hotSeen:
+		case i < hottest && k.rate.v >= hotSeen:
 			b.split(k, c, lam/b.portion*(1-1/k.rate.v)) // the arrival that brought it up is no fair sample
 		default:
 			c[0].load += lam
@@ -243,7 +329,7 @@
 		drawn, u = r.key.v[j], u-r.key.p[j]
 	}
 	// The wait that is borne falls with the worth: the least worth is shed first, and early rather than late.
-	bear := (b.bear + 0.55*math.Sqrt(r.worth/max(b.maxWorth, 1e-9))) * (r.aim - b.now)
+	bear := (b.bear + bearWorth*math.Sqrt(r.worth/max(b.maxWorth, 1e-9))) * (r.aim - b.now)
 	list := append([]*server{r.missed, drawn}, r.key.list...)
 	for sick := 0; sick < 2 && any == nil; sick++ {
 		for _, s := range list {
@@ -255,7 +341,7 @@
 			if s != drawn && s != r.missed && s != r.key.storeAt {
 				wait += b.olat.v // it takes a fetch there; spreading keys would jam a slow origin for good
 			}
-			if any = s; wait <= bear-0.7*s.lat.floor*math.Exp((s.lat.at-b.now)/10000)*r.work {
+			if any = s; wait <= bear-ownTime*s.lat.floor*math.Exp((s.lat.at-b.now)/oldReport)*r.work {
 				return s
 			}
 		}
@@ -268,17 +354,17 @@
 
 func (b *Balancer) arrive(r *request) {
 	b.arrivals.add(b.now, keyTau, 1)
-	b.spare, b.probes = min(20, b.spare+0.2), min(4, b.probes+0.15) // one more try in five, a probe in seven
+	b.spare, b.probes = min(maxSpare, b.spare+sparePer), min(maxProbes, b.probes+probeShare)
 	// A few arrivals over the quota's part are chance: two deviations of a count are not.
 	q := b.quota[r.Tenant] * b.portion * keyTau / 1000
-	if u := b.used[r.Tenant]; u != nil && u.add(b.now, keyTau, 1) > q+2*math.Sqrt(q) {
+	if u := b.used[r.Tenant]; u != nil && u.add(b.now, keyTau, 1) > q+deviations*math.Sqrt(q) {
 		r.worth *= b.cfg.OverWorth
 	}
 	k := r.key
-	k.work += 0.2 * (r.work - k.work) // over five requests
+	k.work += workTells * (r.work - k.work)
 	k.rate.add(b.now, b.keyMem(), 1)
 	// Where servers fetch by themselves, writes and keys not seen for a while go to the origin too.
-	if r.Write || k.fetch != nil || !b.cfg.Aside && b.now > k.stored+10000 {
+	if r.Write || k.fetch != nil || !b.cfg.Aside && b.now > k.stored+oldReport {
 		b.hold(r)
 		b.pump()
 	} else {
@@ -302,19 +388,21 @@
 	if s != b.origin {
 		s.budget.v -= (1 + r.work) / 2 // hints are rough: light ones turn out heavier
 		s.sent.add(b.now, sendTau, r.work)
-		e := max(s.lat.floor, b.x.mean/2, 5)*max(0.5, r.work) + b.waitAt(s) // hints are rough, pauses are not
-		patience := max(1.2*e, min(3*e, r.aim-b.now-1.5*e))                 // leaves time for another attempt
+		// Hints are rough, pauses are not.
+		e := max(s.lat.floor, b.x.mean/2, leastTime)*max(0.5, r.work) + b.waitAt(s)
+		left := r.aim - b.now - nextNeeds*e // for this one, so that there is time for another
+		patience := max(patient*e, min(mostPatient*e, left))
 		// An unknown server, and one on trial, answers over a new connection, perhaps from another zone:
 		// ended early, healthy ones stayed out for good. Harm: a dead one costs these most of their time.
 		if s.ejected || s.lat.v == 0 {
-			patience = max(patience, 0.75*(r.aim-b.now))
+			patience = max(patience, firstGets*(r.aim-b.now))
 		}
 		if b.now+patience < r.until {
 			b.host.Timer(patience, uint64(r.ID)<<8|uint64(len(r.tries)))
 		}
 	}
 	if s == b.origin { // a fetch whose answer is lost holds all that wait for the key
-		b.host.Timer(2*max(b.olat.v, 5), uint64(r.ID)<<8|uint64(len(r.tries)))
+		b.host.Timer(fetchWaits*max(b.olat.v, leastTime), uint64(r.ID)<<8|uint64(len(r.tries)))
 	}
 	b.host.Send(r.ID, s.ID, 0)
 }
@@ -374,13 +462,13 @@
 		b.observe(a.s, o.Status, a.at)
 	}
 	if timeout := o.Status == TimedOut && !asked; a.s != b.origin && (timeout || o.Status == QueueFull) {
-		b.jam.see(b.now, b.jam.floor+r.class.Aim, 0.1)
+		b.jam.see(b.now, b.jam.floor+r.class.Aim, jamTells)
 		if took := o.Latency / r.work; timeout && took > a.s.lat.v { // a jam, though some are answered
-			a.s.lat.see(b.now, took, min(0.5, 0.2*r.work))
+			a.s.lat.see(b.now, took, min(latMost, latTells*r.work))
 		}
 	}
 	if a.passed && (o.Status == OK || o.Status == Miss) {
-		b.lost -= 0.2 * b.lost // over five
+		b.lost -= lostTells * b.lost
 	}
 	if a.s == b.origin || asked && o.Note != 1 { // 1: it was there after all
 		b.fetched(r, o.Status, o.Latency)
@@ -390,16 +478,15 @@
 	}
 	if a.s != b.origin && o.Status == OK {
 		if o.Note != 2 { // what waited for a fetch says nothing of the server
-			// Fixed, idle servers refused and choked ones were late: one late in twenty holds it level.
-			if b.bear = min(0.25, b.bear+0.0005); b.now > r.aim {
-				b.bear = max(0, b.bear-0.01)
+			if b.bear = min(bearMost, b.bear+bearUp); b.now > r.aim {
+				b.bear = max(0, b.bear-bearDown)
 			}
 			b.x.see(o.Latency)
-			b.jam.see(b.now, o.Latency/r.work, 0.1)
+			b.jam.see(b.now, o.Latency/r.work, jamTells)
 			if a.s.lat.v == 0 { // a light request tells little: the fleet's mean stands in for the rest
 				a.s.lat.see(b.now, b.x.mean+min(1, r.work)*(o.Latency/r.work-b.x.mean), 1)
 			}
-			a.s.lat.see(b.now, o.Latency/r.work, min(0.5, 0.2*r.work))
+			a.s.lat.see(b.now, o.Latency/r.work, min(latMost, latTells*r.work))
 		}
 		r.key.stored, r.key.storeAt = b.now, a.s
 	}
@@ -450,12 +537,12 @@
 			b.host.Cancel(r.ID, i)
 			return
 		}
-		b.host.Timer(0.5*(b.now-a.at), uint64(r.ID)<<8|uint64(i+1))
+		b.host.Timer(stretched*(b.now-a.at), uint64(r.ID)<<8|uint64(i+1))
 		return
 	}
 	if !r.asks {
-		r.key.rate.add(b.now, b.keyMem(), b.seldom())  // the key that meets a jam most likely makes it
-		b.jam.see(b.now, b.jam.floor+r.class.Aim, 0.1) // known a second before the time-out
+		r.key.rate.add(b.now, b.keyMem(), b.seldom())       // the key that meets a jam most likely makes it
+		b.jam.see(b.now, b.jam.floor+r.class.Aim, jamTells) // known a second before the time-out
 		a.s.strikes++
 		b.eject(a.s, true)
 	}
@@ -471,12 +558,12 @@
 }
 
 func (b *Balancer) housekeep() {
-	b.host.Timer(100, tickToken)
-	if since := b.now - b.solvedAt; since >= 1000 || b.dirty && since >= 250 {
+	b.host.Timer(tick, tickToken)
+	if since := b.now - b.solvedAt; since >= solveEvery || b.dirty && since >= solveSoon {
 		b.solve()
 	}
 	if b.now >= b.watchAt {
-		b.watchAt = b.now + 5000
+		b.watchAt = b.now + watchAgain
 		b.host.Watch()
 	}
 	// Probes are paid for by own requests: a bound on the age of reports cost many probes a request at size.
@@ -486,7 +573,7 @@
 			s.held = false
 			b.host.Close(s.ID)
 		}
-		if b.cfg.ByProbe && b.cfg.Probes && b.probes >= 1 && b.now-s.probed >= 700 {
+		if b.cfg.ByProbe && b.cfg.Probes && b.probes >= 1 && b.now-s.probed >= probeEvery {
 			b.probes, b.turn, s.probed = b.probes-1, turn+i+1, b.now
 			b.host.Probe(s.ID)
 		}
@@ -495,7 +582,7 @@
 
 // hold makes a request wait for a place at the origin or for a fetch of its key while it can be in time.
 func (b *Balancer) hold(r *request) {
-	by := r.until - 5
+	by := r.until - leastTime
 	if r.class.Late == 0 {
 		by = min(by, r.aim-b.olat.v/2)
 	}
@@ -517,7 +604,7 @@
 			b.end(r)
 		case !r.Write && k.fetch != nil || b.fetching() >= max(1, b.fetches):
 			return false
-		case b.fetches < 1 && b.asked.add(b.now, keyTau, 0) >= b.fetches*keyTau/max(b.olat.v, 100):
+		case b.fetches < 1 && b.asked.add(b.now, keyTau, 0) >= b.fetches*keyTau/max(b.olat.v, leastFetch):
 			return false // a whole fetch at each of hundreds of routers jammed the origin
 		default:
 			if r.held = 0; !r.Write {
@@ -546,17 +633,18 @@
 	}
 	late := st == TimedOut && lat > 2*b.olat.floor // else it was sent too late: no sign of a slow origin
 	if st == OK || late {
-		b.olat.see(b.now, lat, 0.1) // over ten fetches
+		b.olat.see(b.now, lat, jamTells)
 	}
-	// Beyond half of the aim a queue there serves nobody, as the cache came first. Harm: where the aim is
-	// short for the origin, few are out at once. A floor risen in overload excuses no useless answer.
-	slow := min(2.5*b.olat.floor, max(1.3*b.olat.floor, 0.5*r.class.Aim), 0.8*r.class.Aim)
+	// Harm of the bound by the aim: where it is short for the origin, few are out at once. A floor risen in
+	// overload excuses no useless answer.
+	slow := min(slowMost*b.olat.floor, max(slowFloor*b.olat.floor, halfAim*r.class.Aim), mostAim*r.class.Aim)
 	if (st == OK || late) && b.olat.v < slow {
-		b.fetches = min(64, b.fetches+min(1/max(1, b.fetches), max(0.25*b.fetches, 4/float64(b.cfg.Routers))))
-	} else if st.tells() && (st != TimedOut || late) && b.now-b.cutAt > 500 {
-		cut, least := 0.8, min(2, 8/float64(b.cfg.Routers))
-		if st == Failed { // stopped, or working off a queue that nobody waits for: it needs room
-			cut, least = 0.4, least/40
+		more := max(fetchGrows*b.fetches, fetchShare/float64(b.cfg.Routers))
+		b.fetches = min(maxFetches, b.fetches+min(1/max(1, b.fetches), more))
+	} else if st.tells() && (st != TimedOut || late) && b.now-b.cutAt > cutPause {
+		cut, least := cutSlow, min(2, leastShare/float64(b.cfg.Routers))
+		if st == Failed { // it needs room
+			cut, least = cutFailed, least/deepest
 		}
 		if b.cutAt = b.now; b.olat.v >= slow { // a queue: the bound may be far above those out
 			b.fetches = min(b.fetches, max(least, b.fetching()+1))
@@ -567,12 +655,12 @@
 
 // afford says whether a cold server's send budget has room: this router's equal part.
 func (b *Balancer) afford(s *server, work float64) bool {
-	if b.now >= s.fresh+1.5*b.cfg.Cold { // news of the start may have been late
+	if b.now >= s.fresh+coldLate*b.cfg.Cold {
 		return true
 	}
-	c := b.typical(s, 10) // a report made amid cheap misses overstates what the server can do
-	fill := 0.4 * b.cfg.FallMult * c * b.warmth(s) / float64(b.cfg.Routers) / 1000
-	most := max(1, fill*b.cfg.FallFor/6)
+	c := b.typical(s, guessedCold) // a report made amid cheap misses overstates what the server can do
+	fill := coldShare * b.cfg.FallMult * c * b.warmth(s) / float64(b.cfg.Routers) / 1000
+	most := max(1, fill*b.cfg.FallFor/coldWindow)
 	s.budget.v = min(most, s.budget.v+fill*(b.now-s.budget.at))
 	s.budget.at = b.now
 	return s.budget.v >= min((1+work)/2, most)
--- a/decide/state.go
+++ b/decide/state.go
@@ -325,7 +325,7 @@
 	again, most := a.passed, b.lost > 0.5
 	switch a.passed = true; {
 	case again:
-		b.lost += 0.2 * (1 - b.lost)
+		b.lost += lostTells * (1 - b.lost)
 	case most:
 		b.lost *= 0.97
 	}
