--- a/decide/api.go
+++ b/decide/api.go
@@ -51,6 +51,7 @@
 	OverWorth   float64 // share of the worth of a request beyond its tenant's quota
 	ByWork      bool    // worth is counted for each unit of work, else for each request
 
+	Alone      bool   // there is no origin: what the servers hold is all there is
 	Aside      bool   // a miss comes back and the router asks the origin; else servers fetch by themselves
 	OriginKind string // aside: the kind of the listed server that is the origin
 
@@ -119,6 +120,7 @@
 	Size   float64 // bytes; 0 = unknown
 	Retry  bool
 	Write  bool
+	Owners []uint32 // the servers that may serve it, its key's home first; nil = any
 }
 
 // Status is how an attempt or a probe ended.
@@ -162,6 +164,7 @@
 	Final   bool // the request has its final answer
 	Note    int  // 1 hit, 2 fetched or miss, 3 miss while another fetch of the key is out
 	Load    Load
+	Owners  []uint32 // the server sent it on: who may serve it from now on; nil = as before
 }
 
 // Host carries out the actions of a Balancer. Attempts of a request are numbered from 0 in the order of Send.
@@ -206,6 +209,8 @@
 		return bad("CPU", c.CPU)
 	case !nonneg(c.OverWorth):
 		return bad("OverWorth", c.OverWorth)
+	case c.Aside && c.Alone:
+		return bad("Alone", "(with Aside)")
 	case c.Aside && c.OriginKind == "":
 		return bad("OriginKind", "(none)")
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -318,22 +318,31 @@
 	if c := b.candidates(r.key); len(c) > 0 {
 		drawn = c[0]
 	}
+	if drawn != nil && !r.may(drawn) {
+		drawn = nil
+	}
 	home := drawn
 	if len(r.key.list) > 0 {
 		home = r.key.list[0]
 	}
-	if home != drawn && home.ejected && b.now >= home.overdue && len(r.tries) == 0 && b.usable(home, r) {
+	due := home != drawn && r.may(home) && home.ejected && b.now >= home.overdue
+	if due && len(r.tries) == 0 && b.usable(home, r) {
 		return home // its trial: where no queue makes a request look further, it would stay out for good
 	}
 	for j, u := 0, b.rng.Float64(); j < len(r.key.v) && u >= 0; j++ {
-		drawn, u = r.key.v[j], u-r.key.p[j]
+		if u -= r.key.p[j]; r.may(r.key.v[j]) {
+			drawn = r.key.v[j]
+		}
 	}
 	// The wait that is borne falls with the worth: the least worth is shed first, and early rather than late.
 	bear := (b.bear + bearWorth*math.Sqrt(r.worth/max(b.maxWorth, 1e-9))) * (r.aim - b.now)
 	list := append([]*server{r.missed, drawn}, r.key.list...)
+	if r.Owners != nil { // it may have been sent on to others than the key's
+		list = append(list, b.listed(r.Owners)...)
+	}
 	for sick := 0; sick < 2 && any == nil; sick++ {
 		for _, s := range list {
-			if s == nil || s != r.missed && r.tried(s) || !b.mayRun(r, s) ||
+			if s == nil || !r.may(s) || s != r.missed && r.tried(s) || !b.mayRun(r, s) ||
 				!b.usable(s, r) && (sick == 0 || s.State != Ready || !b.afford(s, r.work)) {
 				continue
 			}
@@ -364,7 +373,9 @@
 	k.work += workTells * (r.work - k.work)
 	k.rate.add(b.now, b.keyMem(), 1)
 	// Where servers fetch by themselves, writes and keys not seen for a while go to the origin too.
-	if r.Write || k.fetch != nil || !b.cfg.Aside && b.now > k.stored+oldReport {
+	if b.cfg.Alone {
+		b.try(r)
+	} else if r.Write || k.fetch != nil || !b.cfg.Aside && b.now > k.stored+oldReport {
 		b.hold(r)
 		b.pump()
 	} else {
@@ -494,6 +505,9 @@
 	// again where it is kept: it takes no fetch. A dead server costs a second attempt, which spare bounds.
 	cut := o.Status == Reset || o.Status == ConnectError
 	again := a.s == b.origin && (cut || o.Status == Canceled)
+	if o.Owners != nil {
+		r.Owners = o.Owners
+	}
 	spoilt := (o.Status == Spoilt || cut && a.s != b.origin && a.s.doubt < maxDoubt/2) && !r.Write
 	if spoilt && a.s != b.origin {
 		r.missed = a.s
@@ -511,6 +525,8 @@
 	case o.Status == Miss && b.cfg.Aside:
 		r.missed = a.s
 		b.hold(r)
+	case o.Owners != nil && r.out == 0: // sent on: no retry, and the bound on attempts ends loops
+		b.try(r)
 	case r.out > 0 || b.spare < 1: // retries must not become a storm
 		b.end(r)
 	default:
--- a/decide/state.go
+++ b/decide/state.go
@@ -107,6 +107,7 @@
 	rate    rate
 	work    float64   // mean work of a request
 	epoch   int       // of the hash table that list comes from
+	owners  []uint32  // that may serve it; nil = any
 	list    []*server // memento-hash list
 	v       []*server // solved servers
 	p       []float64 // and their shares
@@ -219,7 +220,10 @@
 // list gives the first distinct servers of a key. Keys of a removed bucket are drawn again over the table.
 func (b *Balancer) list(k *flow) []*server {
 	if k.epoch != b.epoch {
-		k.list, k.epoch, k.v = nil, b.epoch, nil
+		k.list, k.epoch, k.v = b.listed(k.owners), b.epoch, nil
+		if k.owners != nil {
+			return k.list
+		}
 		for h, i := mix(k.id), 0; len(k.list) < min(listLen, len(b.order)) && i < 4<<tableBits; i++ {
 			if s := b.table[h>>(64-tableBits)]; s != nil && !slices.Contains(k.list, s) {
 				k.list = append(k.list, s)
@@ -230,6 +234,19 @@
 	return k.list
 }
 
+// listed are the servers of these ids that are on the list, at most as many as a key's list has.
+func (b *Balancer) listed(ids []uint32) (list []*server) {
+	for _, id := range ids {
+		if s := b.servers[id]; s != nil && s.listed && len(list) < listLen {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// may says whether a server may serve the request at all.
+func (r *request) may(s *server) bool { return r.Owners == nil || slices.Contains(r.Owners, s.ID) }
+
 // rate counts with exponential forgetting: its value over the memory is a rate.
 type rate struct{ v, at float64 }
 
@@ -373,6 +390,11 @@
 		k = &flow{id: q.Key, work: 1}
 		b.keys[q.Key], b.keyList = k, append(b.keyList, k)
 	}
+	// Writes may go to fewer of them than reads, which is no change of the key's owners.
+	part := q.Write && len(q.Owners) > 0 && len(k.owners) > 0 && k.owners[0] == q.Owners[0]
+	if q.Owners != nil && !part && !slices.Equal(q.Owners, k.owners) {
+		k.owners, k.epoch = slices.Clone(q.Owners), 0
+	}
 	return k
 }
 
