--- a/internal/backend/meta/meta.go
+++ b/internal/backend/meta/meta.go
@@ -24,19 +24,25 @@
 }
 
 // Command is the request as a cache server gets it: as it came, but for the time that the router will wait.
-func (Protocol) Command(_ string, r *engine.Request, wait float64) ([]byte, error) {
-	return command(r).Append(nil, wait), nil
+func (Protocol) Command(_ string, r *engine.Request, try engine.Try) ([]byte, error) {
+	return command(r).Append(nil, try.Wait), nil
 }
 
 // statuses of the answers.
 var statuses = map[meta.Kind]decide.Status{meta.Done: decide.OK, meta.Miss: decide.Miss, meta.Busy: decide.QueueFull, meta.Failed: decide.Failed}
 
 // Answer reads the answer to a request.
-func (Protocol) Answer(in *bufio.Reader, r *engine.Request) (engine.Reply, bool, error) {
+func (Protocol) Answer(in *bufio.Reader, _ string, r *engine.Request, _ engine.Try) (engine.Reply, bool, error) {
 	a, err := meta.ReadAnswer(in, command(r)) // an answer that can't be used may still tell the load
 	return engine.Reply{Status: statuses[a.Kind], Body: a.Body, Note: a.Note, Load: settings.ParseLoad(a.Report)}, false, err
 }
 
+// Open writes nothing: a connection is used as it is.
+func (Protocol) Open() []byte { return nil }
+
+// Opened reads nothing.
+func (Protocol) Opened(*bufio.Reader) error { return nil }
+
 // Probe asks for the load.
 func (Protocol) Probe(string) string { return "stats load\r\n" }
 
--- a/internal/backend/origin/origin.go
+++ b/internal/backend/origin/origin.go
@@ -30,7 +30,7 @@
 type Protocol struct{}
 
 // Command is the request in the origin's HTTP.
-func (Protocol) Command(addr string, q *engine.Request, _ float64) ([]byte, error) {
+func (Protocol) Command(addr string, q *engine.Request, _ engine.Try) ([]byte, error) {
 	r := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: "/" + q.Key},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Host: addr,
 		Header: http.Header{"X-Correlation-Id": {q.ID}, "X-Facts": {q.Facts}, "User-Agent": {""}}}
@@ -44,6 +44,12 @@
 	return b.Bytes(), nil
 }
 
+// Open writes nothing: a connection is used as it is.
+func (Protocol) Open() []byte { return nil }
+
+// Opened reads nothing.
+func (Protocol) Opened(*bufio.Reader) error { return nil }
+
 // Probe asks for the load.
 func (Protocol) Probe(addr string) string { return "GET /load HTTP/1.1\r\nHost: " + addr + "\r\n\r\n" }
 
@@ -125,7 +131,7 @@
 }
 
 // Answer reads the origin's answer to a request.
-func (Protocol) Answer(in *bufio.Reader, q *engine.Request) (a engine.Reply, last bool, err error) {
+func (Protocol) Answer(in *bufio.Reader, _ string, q *engine.Request, _ engine.Try) (a engine.Reply, last bool, err error) {
 	a.Load = decide.NoLoad
 	method := http.MethodGet
 	if q.Write {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -23,10 +23,13 @@
 // Protocol is what a server speaks. Its methods may be called from any goroutine.
 type Protocol interface {
 	// Command is what an attempt writes. An error says that the request can't be said in the protocol.
-	Command(addr string, r *engine.Request, wait float64) ([]byte, error)
+	Command(addr string, r *engine.Request, try engine.Try) ([]byte, error)
 	// Answer reads the answer to it. With last the connection carries no further request; an error leaves it without use.
-	Answer(in *bufio.Reader, r *engine.Request) (a engine.Reply, last bool, err error)
-	// Probe is what asks for the load.
+	Answer(in *bufio.Reader, addr string, r *engine.Request, try engine.Try) (a engine.Reply, last bool, err error)
+	// Open is what is written ahead of the first command of a connection, and Opened reads the answer to it.
+	Open() []byte
+	Opened(in *bufio.Reader) error
+	// Probe is what asks for the load; "" = it can't be asked.
 	Probe(addr string) string
 	// Load reads the answer to that.
 	Load(in *bufio.Reader) (decide.Load, error)
@@ -51,6 +54,7 @@
 	r     *bufio.Reader
 	left  int       // bytes that may still come for what is being read
 	since time.Time // idle since
+	fresh bool      // nothing has been written
 }
 
 // An answer is bounded in bytes and in time, whatever it says of itself.
@@ -217,7 +221,7 @@
 		u.mu.Unlock()
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
-	uc := &conn{Conn: c}
+	uc := &conn{Conn: c, fresh: true}
 	uc.r = bufio.NewReaderSize(uc, lineSize)
 	return uc, nil
 }
@@ -253,10 +257,10 @@
 }
 
 // Attempt is engine.Link's.
-func (t *target) Attempt(ctx context.Context, r *engine.Request, wait float64, begin func() bool) engine.Reply {
+func (t *target) Attempt(ctx context.Context, r *engine.Request, try engine.Try, begin func() bool) engine.Reply {
 	u := t.pool
 	a := engine.Reply{Load: decide.NoLoad}
-	wire, err := t.proto.Command(t.addr, r, wait)
+	wire, err := t.proto.Command(t.addr, r, try)
 	if err != nil {
 		a.Status = decide.Ignored // it was not sent
 		return a
@@ -275,6 +279,10 @@
 		return a
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
+	opening := c.fresh
+	if c.fresh = false; opening {
+		wire = append(t.proto.Open(), wire...)
+	}
 	if _, err := c.Write(wire); err != nil { // the last byte is not out, so nothing can have run
 		stop()
 		u.put(t, c, false)
@@ -284,8 +292,11 @@
 	last := false
 	err = c.begun()
 	answered := err == nil
-	if answered {
-		a, last, err = t.proto.Answer(c.r, r)
+	if answered && opening {
+		err = t.proto.Opened(c.r)
+	}
+	if answered && err == nil {
+		a, last, err = t.proto.Answer(c.r, t.addr, r, try)
 	}
 	u.put(t, c, stop() && err == nil && !last && c.clean())
 	switch {
@@ -300,6 +311,9 @@
 // Probe is engine.Link's.
 func (t *target) Probe(ctx context.Context) (decide.Status, decide.Load) {
 	u, l := t.pool, decide.NoLoad
+	if t.proto.Probe(t.addr) == "" {
+		return decide.OK, l
+	}
 	c, err := u.take(ctx, t)
 	if err != nil {
 		return decide.ConnectError, l
--- /dev/null
+++ b/internal/backend/resp/protocol.go
@@ -0,0 +1,180 @@
+// Package resp speaks RESP to the servers of a cluster: one command on one connection, its reply mapped to how the attempt
+// ended and whether it has run. A redirection is never followed here: it is an outcome, and the module decides on the next.
+package resp
+
+import (
+	"bufio"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/proto/resp"
+)
+
+// Sent tells the cluster of what a server said beside an answer.
+type Sent interface {
+	// Moved takes a redirection for good, and gives the servers that may serve the request now; ok is false where it is not
+	// believed.
+	Moved(slot int, addr string) (owners []uint32, ok bool)
+	// Asked gives the server that an ASK names.
+	Asked(addr string) (owners []uint32, ok bool)
+	// Doubt asks for a new map soon.
+	Doubt()
+}
+
+// Protocol is a backend.Protocol.
+type Protocol struct {
+	Cluster  Sent
+	User     string // "" = AUTH with a password alone
+	Password string // "" = no AUTH
+	Replicas bool   // connections may read from replicas
+}
+
+var asking = resp.AppendCommand(nil, []byte("ASKING"))
+
+// Command is the client's command, behind ASKING where the server has it by leave.
+func (Protocol) Command(_ string, r *engine.Request, try engine.Try) ([]byte, error) {
+	if len(r.Words) == 0 {
+		return nil, errors.New("no command")
+	}
+	var b []byte
+	if try.Asking {
+		b = append(b, asking...)
+	}
+	return resp.AppendCommand(b, r.Words...), nil
+}
+
+// Open says who we are, and that replicas may answer reads.
+func (p Protocol) Open() (b []byte) {
+	if p.Password != "" {
+		words := [][]byte{[]byte("AUTH")}
+		if p.User != "" {
+			words = append(words, []byte(p.User))
+		}
+		b = resp.AppendCommand(b, append(words, []byte(p.Password))...)
+	}
+	if p.Replicas {
+		b = resp.AppendCommand(b, []byte("READONLY"))
+	}
+	return b
+}
+
+// Opened reads what a server says to Open. An error there shows in the answer to the command behind it too.
+func (p Protocol) Opened(in *bufio.Reader) error {
+	n := 0
+	if p.Password != "" {
+		n++
+	}
+	if p.Replicas {
+		n++
+	}
+	for range n {
+		if _, err := resp.NewReader(in).ReadReply(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Answer reads the reply to a command.
+func (p Protocol) Answer(in *bufio.Reader, addr string, _ *engine.Request, try engine.Try) (engine.Reply, bool, error) {
+	r := resp.NewReader(in)
+	if try.Asking {
+		if _, err := r.ReadReply(); err != nil {
+			return engine.Reply{Load: decide.NoLoad}, true, err
+		}
+	}
+	got, err := r.ReadReply()
+	for err == nil && got.Kind == resp.Push { // news that nobody asked for
+		got, err = r.ReadReply()
+	}
+	if err != nil {
+		return engine.Reply{Load: decide.NoLoad}, true, err
+	}
+	a := engine.Reply{Status: decide.OK, Load: decide.NoLoad, Content: &got}
+	if got.IsError() {
+		p.judge(&a, addr, string(got.Text))
+	}
+	return a, false, nil
+}
+
+// Probe asks nothing: RESP has no load report.
+func (Protocol) Probe(string) string { return "" }
+
+// Load is never read.
+func (Protocol) Load(*bufio.Reader) (decide.Load, error) { return decide.NoLoad, nil }
+
+// Rest is none: a server gives one reply for each command, and one too many shows as input on an idle connection.
+func (Protocol) Rest() time.Duration { return 0 }
+
+// verdict is what an error says.
+type verdict struct {
+	status decide.Status
+	doubt  bool // the map may be old
+}
+
+// verdicts are the errors that prove that a command did not run (redis.io/docs/reference/cluster-spec, and the server's
+// own sources for the words). Any other error is the command's own answer: it was carried out as far as it goes, and the
+// client gets it as it is. Ignored says nothing against the server; QueueFull says that it can't serve now.
+var verdicts = map[string]verdict{
+	"TRYAGAIN":    {decide.Ignored, false},   // several keys, of which some have moved
+	"CLUSTERDOWN": {decide.Ignored, true},    // the slot, or the cluster, is without an owner
+	"READONLY":    {decide.Ignored, true},    // a write at a replica
+	"LOADING":     {decide.QueueFull, false}, // it reads its data
+	"MASTERDOWN":  {decide.QueueFull, true},  // a replica that has lost its primary
+	"BUSY":        {decide.QueueFull, false}, // a script runs
+	"MISCONF":     {decide.QueueFull, false}, // it can't save, so it takes no writes
+	"OOM":         {decide.QueueFull, false}, // and no more memory
+	"NOREPLICAS":  {decide.QueueFull, false},
+	"NOAUTH":      {decide.QueueFull, false}, // our password is missing
+	"WRONGPASS":   {decide.QueueFull, false},
+	"NOPERM":      {decide.QueueFull, false},
+}
+
+// judge books what an error says of the attempt.
+func (p Protocol) judge(a *engine.Reply, addr, text string) {
+	word, rest, _ := strings.Cut(text, " ")
+	if word == "MOVED" || word == "ASK" {
+		a.Status, a.Content = decide.Ignored, nil
+		p.sentOn(a, addr, word, rest)
+		return
+	}
+	v, ok := verdicts[word]
+	if !ok {
+		return
+	}
+	a.Status, a.Content = v.status, nil
+	if v.doubt {
+		p.Cluster.Doubt()
+	}
+}
+
+// sentOn books a redirection: "SLOT HOST:PORT", where a host that is left out is the server's own.
+func (p Protocol) sentOn(a *engine.Reply, addr, word, rest string) {
+	n, to, _ := strings.Cut(rest, " ")
+	slot, err := strconv.Atoi(n)
+	if err != nil || to == "" {
+		p.Cluster.Doubt()
+		return
+	}
+	if strings.HasPrefix(to, ":") {
+		to = addr[:strings.LastIndexByte(addr, ':')] + to
+	}
+	if to == addr { // to itself: it does not know what it says, and a new map may
+		p.Cluster.Doubt()
+		return
+	}
+	var owners []uint32
+	ok := false
+	if word == "MOVED" {
+		owners, ok = p.Cluster.Moved(slot, to)
+	} else {
+		owners, ok = p.Cluster.Asked(to)
+	}
+	if ok {
+		a.Owners, a.Asking = owners, word == "ASK"
+	}
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"regexp"
 	"slices"
 	"strconv"
@@ -112,6 +113,9 @@
 	Sites   []string    `toml:"sites"`
 	Kinds   []string    `toml:"kinds"`
 	Servers serversKeys `toml:"servers"`
+
+	Protocol string   `toml:"protocol"`
+	RESP     respKeys `toml:"resp"`
 }
 
 type serversKeys struct {
@@ -384,6 +388,17 @@
 		c.bad(at+".sites", "the router's own site %q is not among them", m.Zone)
 	}
 	cfg.Checked = settings.Settings{Config: m, ConnectTimeout: number(c, "attempts.connect_timeout_ms", c.doc.Attempts.Connect, 250, 1, 60e3, " ms")}
+	switch p.Protocol {
+	case "", "meta":
+		if len(p.RESP.Seeds) > 0 {
+			c.bad(at+".resp", `belongs to a pool with protocol = "resp"`)
+		}
+	case "resp":
+		c.resp(at, p, cfg)
+		return cfg
+	default:
+		c.bad(at+".protocol", "%.40q is no protocol; meta and resp are", p.Protocol)
+	}
 	cfg.Source = c.source(at+".servers", p, m.Aside)
 	cfg.Discovery = p.Servers.Discovery
 	return cfg
@@ -450,6 +465,7 @@
 		at := fmt.Sprintf("pool[%d].", i)
 		differs(at+"name", p.Name != q.Name)
 		differs(at+"listen", p.Listen != q.Listen)
+		differs(at+"protocol or resp", !reflect.DeepEqual(p.RESP, q.RESP))
 		differs(at+"origin", p.Checked.Config.Aside != q.Checked.Config.Aside)
 		differs(at+"servers.discovery (another kind of source)", (p.Source.Path == "") != (q.Source.Path == ""))
 		differs("limits", p.Limits != q.Limits)
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -66,7 +66,7 @@
 	walk = func(of reflect.Type) {
 		for i := range of.NumField() {
 			f := of.Field(i)
-			if key := f.Tag.Get("toml"); !regexp.MustCompile(`(?m)^\[*#?(\w+\.)?` + key + `( =|\])`).MatchString(text) {
+			if key := f.Tag.Get("toml"); !regexp.MustCompile(`(?m)^#?\[*#?(\w+\.)*` + key + `( =|\])`).MatchString(text) {
 				t.Errorf("%s is not in the example", key)
 			}
 			kind := f.Type
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -32,6 +32,7 @@
 
 	Pool   string            `json:"-"` // of the program's own configuration
 	Own    bool              `json:"-"` // comes from the program's own configuration, not from the platform's
+	RESP   *RESP             `json:"-"` // the pool speaks RESP; nil = the meta commands
 	Source member.FileConfig `json:"-"` // the server file; without a path, Discovery tells of servers
 }
 
--- /dev/null
+++ b/internal/config/resp.go
@@ -0,0 +1,155 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+
+	"mossproxy.example/mossproxy/decide"
+)
+
+// RESP is what a pool that speaks the cluster dialect of RESP works by.
+type RESP struct {
+	Seeds       []string
+	User        string
+	Password    string // for the servers; "" = none
+	Replicas    bool   // may answer reads
+	Read, Write string // classes of what no rule maps
+	Rules       []RESPRule
+	Logins      []RESPLogin
+	Tenant      string // of clients that need not log in
+	Peers       []string
+}
+
+// RESPRule maps commands, on keys with a prefix, to a class.
+type RESPRule struct {
+	Commands []string
+	Prefix   string
+	Class    string
+}
+
+// RESPLogin is a user's way to a tenant.
+type RESPLogin struct {
+	User   string
+	SHA256 [32]byte
+	Tenant string
+}
+
+type respKeys struct {
+	Seeds        []string    `toml:"seeds"`
+	User         string      `toml:"user"`
+	PasswordFile string      `toml:"password_file"`
+	Replicas     bool        `toml:"replicas"`
+	Read         string      `toml:"read_class"`
+	Write        string      `toml:"write_class"`
+	Tenant       string      `toml:"tenant"`
+	Peers        []string    `toml:"peers"`
+	Rules        []ruleRow   `toml:"rule"`
+	Logins       []loginKeys `toml:"login"`
+}
+
+type ruleRow struct {
+	Commands []string `toml:"commands"`
+	Prefix   string   `toml:"prefix"`
+	Class    string   `toml:"class"`
+}
+
+type loginKeys struct {
+	User   string `toml:"user"`
+	SHA256 string `toml:"password_sha256"`
+	Tenant string `toml:"tenant"`
+}
+
+// resp checks a pool that speaks RESP.
+func (c *checker) resp(at string, p *poolKeys, cfg *Config) {
+	k, in := &p.RESP, at+".resp"
+	m := &cfg.Checked.Config
+	// A server that speaks RESP says LOADING until it has its data, and a replica that takes over has them: none is cold.
+	m.Cold = 0
+	m.Aside, m.OriginKind, m.Alone, m.Probes, m.Weighted = false, "", true, false, false
+	if p.Origin != "" && p.Origin != "none" {
+		// The default has been filled in by now.
+		if c.d.Line(at+".origin") != c.d.Line(at) {
+			c.bad(at+".origin", "a pool that speaks RESP has none yet: what its servers hold is all there is")
+		}
+	}
+	if p.Servers != (serversKeys{}) {
+		c.bad(at+".servers", "the servers of a pool that speaks RESP come from its cluster; name resp.seeds alone")
+	}
+	if len(k.Seeds) == 0 {
+		c.bad(in+".seeds", "missing; name one server of the cluster at least, HOST:PORT")
+	}
+	for i, s := range k.Seeds {
+		c.address(fmt.Sprintf("%s.seeds[%d]", in, i), s, false)
+	}
+	out := &RESP{Seeds: k.Seeds, User: k.User, Replicas: k.Replicas, Tenant: k.Tenant, Peers: k.Peers}
+	out.Read, out.Write = c.respClass(in+".read_class", k.Read, m), c.respClass(in+".write_class", k.Write, m)
+	for _, cl := range m.Classes {
+		if cl.Name == k.Write && cl.Effect == decide.Repeatable {
+			c.bad(in+".write_class", "%q may run twice, and INCR must not: name a class with the effect once", k.Write)
+		}
+	}
+	for i, r := range k.Rules {
+		here := fmt.Sprintf("%s.rule[%d]", in, i)
+		for j, n := range r.Commands {
+			r.Commands[j] = strings.ToUpper(n)
+		}
+		out.Rules = append(out.Rules, RESPRule{r.Commands, r.Prefix, c.respClass(here+".class", r.Class, m)})
+	}
+	c.logins(in, k, out)
+	if k.PasswordFile != "" {
+		text, err := os.ReadFile(c.relative(k.PasswordFile))
+		if err != nil {
+			c.bad(in+".password_file", "can't be read: %v", err)
+		}
+		out.Password = strings.TrimSpace(string(text))
+	}
+	if len(k.Peers) > 0 && len(k.Peers) != m.Routers {
+		c.bad(in+".peers", "%d addresses, and tier.routers says %d; name each router's, in the order of their numbers", len(k.Peers), m.Routers)
+	}
+	for i, s := range k.Peers {
+		c.address(fmt.Sprintf("%s.peers[%d]", in, i), s, false)
+	}
+	cfg.RESP = out
+}
+
+// respClass checks that a class is there, and that RESP servers can keep what it asks.
+func (c *checker) respClass(key, name string, m *decide.Config) string {
+	for _, cl := range m.Classes {
+		if cl.Name == name {
+			if cl.Effect == decide.Keyed {
+				c.bad(key, "%q has the effect by_key, and servers that speak RESP drop no repeats; once and repeatable do", name)
+			}
+			return name
+		}
+	}
+	c.bad(key, "%.40q is no class", name)
+	return name
+}
+
+func (c *checker) logins(in string, k *respKeys, out *RESP) {
+	tenant := func(key, name string) {
+		for _, t := range c.doc.Tenants {
+			if t.Name == name {
+				return
+			}
+		}
+		c.bad(key, "%.40q is no tenant", name)
+	}
+	if len(k.Logins) == 0 && k.Tenant != "" {
+		tenant(in+".tenant", k.Tenant)
+	}
+	var users []string
+	for i, l := range k.Logins {
+		here := fmt.Sprintf("%s.login[%d]", in, i)
+		c.name(here+".user", l.User, &users)
+		tenant(here+".tenant", l.Tenant)
+		sum, err := hex.DecodeString(l.SHA256)
+		if err != nil || len(sum) != 32 {
+			c.bad(here+".password_sha256", "not the 64 hex digits of a SHA-256")
+			continue
+		}
+		out.Logins = append(out.Logins, RESPLogin{l.User, [32]byte(sum), l.Tenant})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,6 +62,14 @@
 	Size   float64 // bytes; 0 = unknown
 	Retry  bool
 	Write  bool
+	Owners []uint32 // the servers that may serve it, the first one at home; nil = any
+	Words  [][]byte // the command itself, where the fields above don't say it; never changed
+}
+
+// Try is one attempt, as a backend needs to know it.
+type Try struct {
+	Wait   float64 // ms for which the answer is waited for
+	Asking bool    // the server has the request by leave of another: it would else send it on
 }
 
 // Result is the kind of a final answer.
@@ -79,8 +87,9 @@
 // Answer is the final answer to a request.
 type Answer struct {
 	Result
-	Body []byte  // Served
-	Wait float64 // Refused: ms after which to come again; 0 = not told
+	Body    []byte  // Served
+	Content any     // Served: the answer in a backend's own terms, where Body does not say it
+	Wait    float64 // Refused: ms after which to come again; 0 = not told
 }
 
 // Ticket is a request's place at its front. Its Answer is called once, on the engine's goroutine, and does not block.
@@ -91,12 +100,15 @@
 
 // Reply is what came back for an attempt.
 type Reply struct {
-	Status decide.Status
-	Body   []byte // OK: the value or the receipt
-	Note   int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
-	Load   decide.Load
+	Status  decide.Status
+	Body    []byte // OK: the value or the receipt
+	Note    int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
+	Load    decide.Load
+	Content any // OK: the answer in the backend's own terms, where Body does not say it
 
-	Refused bool // the connection was refused: no process listens
+	Owners  []uint32 // the server sent the request on: who may serve it from now on; nil = as before
+	Asking  bool     // for one attempt alone, by leave: its slot has not moved yet
+	Refused bool     // the connection was refused: no process listens
 }
 
 // ran says whether a server has answered, whatever that was.
@@ -112,9 +124,8 @@
 // Link is the way to one server at one address. Its methods may be called from any goroutine.
 type Link interface {
 	// Attempt makes a request there once, never twice, and says how that ended. The end of ctx gives it up by closing its
-	// connection. begin is asked once, before the first byte: false calls the attempt off. wait is how long the answer is
-	// waited for, in ms.
-	Attempt(ctx context.Context, r *Request, wait float64, begin func() bool) Reply
+	// connection. begin is asked once, before the first byte: false calls the attempt off.
+	Attempt(ctx context.Context, r *Request, try Try, begin func() bool) Reply
 	Probe(ctx context.Context) (decide.Status, decide.Load)
 	CloseIdle()
 	Remove() // no further attempt comes; those that are out end as they may
@@ -146,6 +157,7 @@
 	over   bool   // has its final answer, or its client has gone
 	tries  []*attempt
 	out    int
+	asking []uint32 // at whom its next attempt is by leave
 }
 
 // attempt is one attempt of a request.
@@ -340,7 +352,7 @@
 		e.b.Gone(e.now(), r.id)
 	})
 	e.b.Request(now, decide.Request{ID: r.id, Class: q.Class, Tenant: q.Tenant, Key: keyID(q.Key), HasKey: true,
-		Left: left, Hint: q.Hint, Size: q.Size, Retry: q.Retry, Write: q.Write})
+		Left: left, Hint: q.Hint, Size: q.Size, Retry: q.Retry, Write: q.Write, Owners: q.Owners})
 }
 
 // Leave tells that the client of a request has left.
@@ -388,13 +400,16 @@
 	r := a.r
 	r.out--
 	if got.Status == decide.OK {
-		e.finish(r, Answer{Result: Served, Body: got.Body})
+		e.finish(r, Answer{Result: Served, Body: got.Body, Content: got.Content})
 	}
 	e.forget(r)
 	now := e.now()
 	e.infer(a, got)
+	if r.asking = nil; got.Asking {
+		r.asking = got.Owners
+	}
 	e.b.Outcome(now, decide.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Status: got.Status, Latency: now - a.at,
-		Final: r.over, Note: got.Note, Load: got.Load})
+		Final: r.over, Note: got.Note, Load: got.Load, Owners: got.Owners})
 }
 
 // infer takes a server that refused connections and answers again for one that has started anew, cold, where nobody tells
@@ -545,9 +560,10 @@
 		return
 	}
 	a.due = e.after(left, func() { e.timeOut(a) })
+	try := Try{Wait: left, Asking: slices.Contains(r.asking, to)}
 	go func() {
 		defer stop()
-		got := t.Attempt(ctx, r.Request, left, func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) })
+		got := t.Attempt(ctx, r.Request, try, func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) })
 		e.Post(func() { e.outcome(a, got) })
 	}()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"log"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,6 @@
 	maxUnknown   = 4                      // commands of a connection that the router does not know
 	firstTime    = 2 * time.Second        // for the first command to come whole
 	commandTime  = 2 * time.Second        // for a later one to come whole once it has begun
-	idleTime     = 3 * time.Second        // for the next one to begin
 	rest         = 100 * time.Millisecond // a connection that has just been answered is kept for
 	answerTime   = 5 * time.Second        // for a client to take its answers
 	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
@@ -37,6 +37,8 @@
 // Protocol is what clients speak.
 type Protocol interface {
 	Session() Session
+	Idle() time.Duration // for the next command to begin
+	Drain()              // clients are to be sent elsewhere, where the protocol can
 }
 
 // Session is the protocol on one connection. Its methods are called by the connection's reader alone, but for Render.
@@ -54,6 +56,7 @@
 	Request *engine.Request                             // nil: Text is the answer
 	Render  func(*engine.Request, engine.Answer) []byte // of the request's final answer; runs on the engine's goroutine
 	Unknown bool                                        // counts towards the few that a client may send
+	Lane    int                                         // commands of a connection with the same, above 0, are carried out one after the other
 	End     bool                                        // the connection ends behind the answer
 }
 
@@ -62,6 +65,7 @@
 	engine.Ticket
 	c     *clientConn
 	text  []byte // guarded by c.mu, as the others
+	lane  int
 	ready bool
 }
 
@@ -259,7 +263,7 @@
 	case c.open() > 0:
 		c.SetReadDeadline(time.Time{})
 	default:
-		c.SetReadDeadline(time.Now().Add(idleTime))
+		c.SetReadDeadline(time.Now().Add(c.s.proto.Idle()))
 	}
 	return true
 }
@@ -286,7 +290,10 @@
 			}
 			cmd = Command{Text: text, End: true}
 		}
-		sl := c.push()
+		if cmd.Lane > 0 {
+			c.inTurn(cmd.Lane)
+		}
+		sl := c.push(cmd.Lane)
 		if cmd.Request == nil {
 			sl.answer(cmd.Text)
 		} else {
@@ -354,9 +361,18 @@
 // onlyReader hides the methods by which a copy would do without the buffer it is given.
 type onlyReader struct{ io.Reader }
 
+// inTurn waits until no command of the same lane waits for its answer. Their deadlines bound the wait.
+func (c *clientConn) inTurn(lane int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.broken && slices.ContainsFunc(c.queue, func(sl *slot) bool { return sl.lane == lane && !sl.ready }) {
+		c.changed.Wait()
+	}
+}
+
 // push makes a place for the answer to a command that has come.
-func (c *clientConn) push() *slot {
-	sl := &slot{c: c}
+func (c *clientConn) push(lane int) *slot {
+	sl := &slot{c: c, lane: lane}
 	c.mu.Lock()
 	c.queue = append(c.queue, sl)
 	c.mu.Unlock()
@@ -369,6 +385,9 @@
 	c.s.e.Queued.Add(len(text))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if sl.lane > 0 {
+		defer c.changed.Broadcast()
+	}
 	if sl.text, sl.ready = text, true; c.broken {
 		c.s.e.Queued.Give(len(text))
 		return
@@ -415,7 +434,7 @@
 	if out, size = c.batch(); c.open() == 0 {
 		c.queue = nil // and the answers that its array holds
 		if c.since = time.Now(); !c.closing {
-			c.SetReadDeadline(c.since.Add(idleTime))
+			c.SetReadDeadline(c.since.Add(c.s.proto.Idle()))
 		}
 	}
 	return out, size
@@ -427,6 +446,7 @@
 // Drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
 func (s *Clients) Drain(ctx context.Context) {
 	s.draining.Store(true)
+	s.proto.Drain()
 	s.mu.Lock()
 	for c := range s.conns {
 		c.drain()
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"errors"
+	"time"
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/engine"
@@ -17,6 +18,12 @@
 // Session is the same for all connections: commands say all that there is to know.
 func (Protocol) Session() front.Session { return session{} }
 
+// Idle is how long a connection may stand between two commands.
+func (Protocol) Idle() time.Duration { return 3 * time.Second }
+
+// Drain changes nothing: clients come through a front that sends them elsewhere.
+func (Protocol) Drain() {}
+
 type session struct{}
 
 // Malformed is the answer to input that makes no sense.
--- /dev/null
+++ b/internal/front/resp/commands.go
@@ -0,0 +1,111 @@
+package resp
+
+import (
+	"strings"
+
+	"mossproxy.example/mossproxy/internal/proto/resp"
+)
+
+// spec is what is known of a command: as COMMAND tells it, and how safe it is to repeat.
+type spec struct {
+	name              string
+	arity             int // words with the name; below 0: at least so many
+	first, last, step int // places of the keys
+	write             bool
+	repeatable        bool // running it twice leaves what running it once does, and answers the same
+	local             func(s *session, args [][]byte) []byte
+}
+
+// specs are the commands that are taken, by name in capitals. Writes that are repeatable answer alike the second time:
+// SET without options and MSET do, DEL does not (it answers how many there were), INCR and APPEND never do.
+var specs = map[string]*spec{}
+
+func define(names string, arity, first, last, step int, write, repeatable bool) {
+	for n := range strings.FieldsSeq(names) {
+		specs[n] = &spec{name: n, arity: arity, first: first, last: last, step: step, write: write, repeatable: repeatable}
+	}
+}
+
+func init() { // a table: Go has no constant maps
+	define("GET STRLEN TTL PTTL EXPIRETIME PEXPIRETIME", 2, 1, 1, 1, false, true)
+	define("MGET EXISTS", -2, 1, -1, 1, false, true)
+	define("SET", -3, 1, 1, 1, true, true) // with options it may not be: see repeatable
+	define("MSET", -3, 1, -1, 2, true, true)
+	define("SETEX PSETEX", 4, 1, 1, 1, true, true)
+	define("SETNX GETSET APPEND INCRBY DECRBY INCRBYFLOAT", 3, 1, 1, 1, true, false)
+	define("GETDEL INCR DECR PERSIST", 2, 1, 1, 1, true, false)
+	define("GETEX", -2, 1, 1, 1, true, false)
+	define("DEL UNLINK", -2, 1, -1, 1, true, false)
+	define("EXPIRE PEXPIRE EXPIREAT PEXPIREAT", -3, 1, 1, 1, true, false)
+	for name, f := range map[string]func(*session, [][]byte) []byte{"PING": ping, "ECHO": echo, "HELLO": hello, "AUTH": auth, "SELECT": selectDB,
+		"CLIENT": client, "COMMAND": command, "INFO": info, "READONLY": ok, "READWRITE": ok, "ASKING": askingOK, "CLUSTER": cluster, "QUIT": ok} {
+		specs[name] = &spec{name: name, arity: -1, local: f}
+	}
+	specs["ECHO"].arity, specs["SELECT"].arity, specs["AUTH"].arity = 2, 2, -2
+	specs["CLUSTER"].arity, specs["CLIENT"].arity = -2, -2
+}
+
+// refusals are commands that are known and not taken, and why.
+var refusals = map[string]string{}
+
+func init() { // as above
+	for names, why := range map[string]string{
+		"MULTI EXEC DISCARD WATCH UNWATCH":                                                            "transactions are not taken: a router can't hold several commands together",
+		"EVAL EVALSHA EVAL_RO EVALSHA_RO FCALL FCALL_RO SCRIPT FUNCTION":                              "scripts are not taken: nobody can tell what running one twice does",
+		"SUBSCRIBE PSUBSCRIBE SSUBSCRIBE UNSUBSCRIBE PUNSUBSCRIBE SUNSUBSCRIBE PUBLISH SPUBLISH":      "subscriptions are not taken: connect to a server for them",
+		"BLPOP BRPOP BLMOVE BLMPOP BZPOPMIN BZPOPMAX BZMPOP BRPOPLPUSH XREAD XREADGROUP WAIT MONITOR": "blocking commands are not taken: each request has a deadline",
+	} {
+		for n := range strings.FieldsSeq(names) {
+			refusals[n] = "ERR " + n + ": " + why
+		}
+	}
+}
+
+// keys are the places of a command's keys.
+func (c *spec) keys(args [][]byte) (out [][]byte) {
+	last := c.last
+	if last < 0 {
+		last += len(args)
+	}
+	for i := c.first; i > 0 && i <= last && i < len(args); i += c.step {
+		out = append(out, args[i])
+	}
+	return out
+}
+
+// safe says whether a command with these words may run twice.
+func (c *spec) safe(args [][]byte) bool {
+	if c.name != "SET" {
+		return c.repeatable
+	}
+	for _, a := range args[3:] { // NX, XX and GET answer otherwise the second time; EX and the like don't
+		switch strings.ToUpper(string(a)) {
+		case "NX", "XX", "GET":
+			return false
+		}
+	}
+	return true
+}
+
+// appendSpec writes an entry of COMMAND's answer: name, arity, flags, first, last, step, and what is empty here.
+func appendSpec(b []byte, c *spec) []byte {
+	flags := []string{"fast"}
+	switch {
+	case c.write:
+		flags = append(flags, "write")
+	case c.first > 0:
+		flags = append(flags, "readonly")
+	}
+	b = resp.AppendArray(b, 10)
+	b = resp.AppendBulk(b, []byte(strings.ToLower(c.name)))
+	b = resp.AppendInt(b, int64(c.arity))
+	b = resp.AppendArray(b, len(flags))
+	for _, f := range flags {
+		b = resp.AppendSimple(b, f)
+	}
+	b = resp.AppendInt(resp.AppendInt(resp.AppendInt(b, int64(c.first)), int64(c.last)), int64(c.step))
+	for range 4 { // categories, tips, key specifications, subcommands
+		b = resp.AppendArray(b, 0)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/front/resp/local.go
@@ -0,0 +1,295 @@
+package resp
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+
+	"crypto/sha1" //nolint:gosec // names of nodes, no secrets
+
+	"mossproxy.example/mossproxy/internal/proto/resp"
+	"mossproxy.example/mossproxy/internal/slots"
+)
+
+// The commands that the router answers itself.
+
+func ok(*session, [][]byte) []byte { return resp.AppendSimple(nil, "OK") }
+
+func ping(_ *session, args [][]byte) []byte {
+	if len(args) > 1 {
+		return resp.AppendBulk(nil, args[1])
+	}
+	return resp.AppendSimple(nil, "PONG")
+}
+
+func echo(_ *session, args [][]byte) []byte { return resp.AppendBulk(nil, args[1]) }
+
+// askingOK lets the next command be for a slot of another router.
+func askingOK(s *session, _ [][]byte) []byte {
+	s.asking = true
+	return resp.AppendSimple(nil, "OK")
+}
+
+func selectDB(_ *session, args [][]byte) []byte {
+	if string(args[1]) != "0" {
+		return resp.AppendError(nil, "ERR SELECT is not allowed in cluster mode")
+	}
+	return resp.AppendSimple(nil, "OK")
+}
+
+var wrongPass = resp.AppendError(nil, "WRONGPASS invalid username-password pair or user is disabled.")
+
+// auth logs in: AUTH PASSWORD or AUTH USER PASSWORD. A wrong one leaves the connection as it was.
+func auth(s *session, args [][]byte) []byte {
+	user, password := []byte("default"), args[len(args)-1]
+	switch {
+	case len(args) > 3:
+		return resp.AppendError(nil, "ERR wrong number of arguments for 'auth' command")
+	case len(args) == 3:
+		user = args[1]
+	}
+	if len(s.p.cfg.Logins) == 0 {
+		return resp.AppendError(nil, "ERR AUTH called without any password configured for the default user. Are you sure your configuration is correct?")
+	}
+	tenant, ok := s.p.login(user, password)
+	if !ok {
+		return wrongPass
+	}
+	s.tenant, s.in = tenant, true
+	return resp.AppendSimple(nil, "OK")
+}
+
+// hello is HELLO [2|3 [AUTH user password] [SETNAME name]].
+func hello(s *session, args [][]byte) []byte {
+	proto, tenant, in, name := s.proto, s.tenant, s.in, s.name
+	if len(args) > 1 {
+		n, err := strconv.Atoi(string(args[1]))
+		if err != nil || n < 2 || n > 3 {
+			return resp.AppendError(nil, "NOPROTO unsupported protocol version")
+		}
+		proto = n
+	}
+	for i := 2; i < len(args); i++ {
+		switch word := strings.ToUpper(string(args[i])); {
+		case word == "AUTH" && i+2 < len(args):
+			if len(s.p.cfg.Logins) > 0 {
+				var ok bool
+				if tenant, ok = s.p.login(args[i+1], args[i+2]); !ok {
+					return wrongPass
+				}
+				in = true
+			}
+			i += 2
+		case word == "SETNAME" && i+1 < len(args):
+			if !validName(args[i+1]) {
+				return badName
+			}
+			name = bytes.Clone(args[i+1])
+			i++
+		default:
+			return resp.AppendError(nil, "ERR Syntax error in HELLO option '"+printable(args[i])+"'")
+		}
+	}
+	if !in {
+		return resp.AppendError(nil, "NOAUTH HELLO must be called with the client already authenticated, otherwise the HELLO <proto> AUTH <user> <pass> option can be used to authenticate the client and select the RESP protocol version at the same time")
+	}
+	s.proto, s.tenant, s.in, s.name = proto, tenant, in, name
+	b := resp.AppendMap(nil, 7, proto)
+	for _, kv := range [][2]string{{"server", "redis"}, {"version", version}, {"proto", ""}, {"id", ""}, {"mode", "cluster"}, {"role", "master"}, {"modules", ""}} {
+		b = resp.AppendBulk(b, []byte(kv[0]))
+		switch kv[0] {
+		case "proto":
+			b = resp.AppendInt(b, int64(proto))
+		case "id":
+			b = resp.AppendInt(b, int64(s.id))
+		case "modules":
+			b = resp.AppendArray(b, 0)
+		default:
+			b = resp.AppendBulk(b, []byte(kv[1]))
+		}
+	}
+	return b
+}
+
+// version is the version of the dialect that is spoken: clients switch on it.
+const version = "7.0.0"
+
+var badName = resp.AppendError(nil, "ERR Client names cannot contain spaces, newlines or special characters.")
+
+// maxName bounds what a client may call itself.
+const maxName = 64
+
+func validName(n []byte) bool {
+	return len(n) <= maxName && !bytes.ContainsFunc(n, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// client is CLIENT: what names and describes a connection.
+func client(s *session, args [][]byte) []byte {
+	switch sub := strings.ToUpper(string(args[1])); {
+	case sub == "SETNAME" && len(args) == 3:
+		if !validName(args[2]) {
+			return badName
+		}
+		s.name = bytes.Clone(args[2])
+		return resp.AppendSimple(nil, "OK")
+	case sub == "GETNAME":
+		if len(s.name) == 0 {
+			return resp.AppendNull(nil, s.proto)
+		}
+		return resp.AppendBulk(nil, s.name)
+	case sub == "ID":
+		return resp.AppendInt(nil, int64(s.id))
+	case sub == "SETINFO" && len(args) == 4, sub == "NO-EVICT" && len(args) == 3, sub == "NO-TOUCH" && len(args) == 3:
+		return resp.AppendSimple(nil, "OK")
+	case sub == "INFO" || sub == "LIST":
+		return resp.AppendBulk(nil, fmt.Appendf(nil, "id=%d name=%s resp=%d\n", s.id, s.name, s.proto))
+	}
+	return resp.AppendError(nil, "ERR CLIENT "+printable(args[1])+" is not taken here; SETNAME, GETNAME, ID, INFO, SETINFO, NO-EVICT and NO-TOUCH are")
+}
+
+// command is COMMAND, COMMAND COUNT, INFO, GETKEYS and DOCS.
+func command(s *session, args [][]byte) []byte {
+	names := make([]string, 0, len(specs))
+	for n := range specs {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	sub := ""
+	if len(args) > 1 {
+		sub = strings.ToUpper(string(args[1]))
+	}
+	switch sub {
+	case "":
+		b := resp.AppendArray(nil, len(names))
+		for _, n := range names {
+			b = appendSpec(b, specs[n])
+		}
+		return b
+	case "COUNT":
+		return resp.AppendInt(nil, int64(len(names)))
+	case "INFO":
+		b := resp.AppendArray(nil, len(args)-2)
+		for _, a := range args[2:] {
+			if c := specs[strings.ToUpper(string(a))]; c != nil {
+				b = appendSpec(b, c)
+			} else {
+				b = resp.AppendNull(b, s.proto)
+			}
+		}
+		return b
+	case "DOCS":
+		return resp.AppendMap(nil, 0, s.proto)
+	case "GETKEYS":
+		return getKeys(args[2:])
+	}
+	return resp.AppendError(nil, "ERR COMMAND "+printable(args[1])+" is not taken here")
+}
+
+func getKeys(args [][]byte) []byte {
+	if len(args) == 0 {
+		return resp.AppendError(nil, "ERR wrong number of arguments for 'command|getkeys' command")
+	}
+	c := specs[strings.ToUpper(string(args[0]))]
+	if c == nil || c.first == 0 {
+		return resp.AppendError(nil, "ERR The command has no key arguments")
+	}
+	keys := c.keys(args)
+	b := resp.AppendArray(nil, len(keys))
+	for _, k := range keys {
+		b = resp.AppendBulk(b, k)
+	}
+	return b
+}
+
+func info(*session, [][]byte) []byte {
+	return resp.AppendBulk(nil, []byte("# Server\r\nredis_version:"+version+"\r\nredis_mode:cluster\r\nserver_name:cottonyoke\r\n# Replication\r\nrole:master\r\n# Cluster\r\ncluster_enabled:1\r\n"))
+}
+
+// nodeID is the name of a router, the same at all of them.
+func nodeID(addr string) string { return fmt.Sprintf("%x", sha1.Sum([]byte(addr))) }
+
+// part is one router of the tier with its run of slots.
+type part struct {
+	addr, host string
+	port       int64
+	from, to   int
+}
+
+func (p *Protocol) parts() (out []part) {
+	n := len(p.cfg.Peers)
+	for i, addr := range p.cfg.Peers {
+		host, port, _ := net.SplitHostPort(addr)
+		num, _ := strconv.ParseInt(port, 10, 64)
+		out = append(out, part{addr, host, num, (i*slots.Count + n - 1) / n, ((i+1)*slots.Count+n-1)/n - 1})
+	}
+	return out
+}
+
+// cluster is CLUSTER: the routers as a cluster.
+func cluster(s *session, args [][]byte) []byte {
+	p := s.p
+	switch sub := strings.ToUpper(string(args[1])); {
+	case sub == "SLOTS":
+		return p.clusterSlots()
+	case sub == "SHARDS":
+		return p.clusterShards(s.proto)
+	case sub == "NODES":
+		return resp.AppendBulk(nil, p.clusterNodes())
+	case sub == "INFO":
+		return resp.AppendBulk(nil, fmt.Appendf(nil, "cluster_enabled:1\r\ncluster_state:ok\r\ncluster_slots_assigned:%d\r\ncluster_slots_ok:%d\r\n"+
+			"cluster_slots_pfail:0\r\ncluster_slots_fail:0\r\ncluster_known_nodes:%d\r\ncluster_size:%d\r\ncluster_current_epoch:1\r\ncluster_my_epoch:1\r\n",
+			slots.Count, slots.Count, len(p.cfg.Peers), len(p.cfg.Peers)))
+	case sub == "MYID":
+		return resp.AppendBulk(nil, []byte(nodeID(p.cfg.Peers[p.cfg.Me])))
+	case sub == "KEYSLOT" && len(args) == 3:
+		return resp.AppendInt(nil, int64(slots.Of(args[2])))
+	}
+	return resp.AppendError(nil, "ERR CLUSTER "+printable(args[1])+" is not taken here; SLOTS, SHARDS, NODES, INFO, MYID and KEYSLOT are")
+}
+
+func (p *Protocol) clusterSlots() []byte {
+	parts := p.parts()
+	b := resp.AppendArray(nil, len(parts))
+	for _, n := range parts {
+		b = resp.AppendInt(resp.AppendInt(resp.AppendArray(b, 3), int64(n.from)), int64(n.to))
+		b = resp.AppendBulk(resp.AppendInt(resp.AppendBulk(resp.AppendArray(b, 3), []byte(n.host)), n.port), []byte(nodeID(n.addr)))
+	}
+	return b
+}
+
+func (p *Protocol) clusterShards(proto int) []byte {
+	parts := p.parts()
+	b := resp.AppendArray(nil, len(parts))
+	str := func(t string) { b = resp.AppendBulk(b, []byte(t)) }
+	for _, n := range parts {
+		b = resp.AppendMap(b, 2, proto)
+		str("slots")
+		b = resp.AppendInt(resp.AppendInt(resp.AppendArray(b, 2), int64(n.from)), int64(n.to))
+		str("nodes")
+		b = resp.AppendMap(resp.AppendArray(b, 1), 7, proto)
+		for _, kv := range [][2]string{{"id", nodeID(n.addr)}, {"ip", n.host}, {"endpoint", n.host}, {"role", "master"}, {"health", "online"}} {
+			str(kv[0])
+			str(kv[1])
+		}
+		str("port")
+		b = resp.AppendInt(b, n.port)
+		str("replication-offset")
+		b = resp.AppendInt(b, 0)
+	}
+	return b
+}
+
+func (p *Protocol) clusterNodes() []byte {
+	var b []byte
+	for i, n := range p.parts() {
+		flags := "master"
+		if i == p.cfg.Me {
+			flags = "myself,master"
+		}
+		b = fmt.Appendf(b, "%s %s@%d %s - 0 0 1 connected %d-%d\n", nodeID(n.addr), n.addr, n.port+10000, flags, n.from, n.to)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/front/resp/resp.go
@@ -0,0 +1,295 @@
+// Package resp speaks the cluster dialect of RESP to clients: they see a cluster whose nodes are the routers of the tier.
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/front"
+	"mossproxy.example/mossproxy/internal/proto/resp"
+	"mossproxy.example/mossproxy/internal/slots"
+)
+
+// Rule maps commands on keys with a prefix to a class.
+type Rule struct {
+	Commands []string // names in capitals; empty = any
+	Prefix   string
+	Class    string
+}
+
+// Login is a user's way to a tenant.
+type Login struct {
+	User   string
+	SHA256 [32]byte // of the password
+	Tenant string
+}
+
+// Config is what a RESP front works by.
+type Config struct {
+	Read, Write string   // classes of what no rule maps: reads, and writes
+	Rules       []Rule   // the first that fits counts
+	Logins      []Login  // empty: no AUTH is asked for
+	Tenant      string   // of clients that have not logged in
+	Peers       []string // addresses of the routers of the tier, by number; empty = this one alone
+	Me          int
+	Owners      func(slot int, write bool) []uint32 // who may serve a slot
+}
+
+// Protocol is a front.Protocol.
+type Protocol struct {
+	cfg      Config
+	ids      atomic.Uint64 // of requests and connections
+	draining atomic.Bool   // slots are handed on to the next peer
+}
+
+// Drain hands this router's slots on to the next peer from now on.
+func (p *Protocol) Drain() { p.draining.Store(true) }
+
+// idle is how long a connection may stand between two commands: clients keep pools of them for long.
+const idle = 5 * time.Minute
+
+// Idle is front.Protocol's.
+func (p *Protocol) Idle() time.Duration { return idle }
+
+// New is the protocol of a listener at an address.
+func New(cfg Config, addr string) *Protocol {
+	if len(cfg.Peers) == 0 {
+		cfg.Peers, cfg.Me = []string{addr}, 0
+	}
+	return &Protocol{cfg: cfg}
+}
+
+// Session is a client's connection.
+func (p *Protocol) Session() front.Session {
+	return &session{p: p, id: p.ids.Add(1), proto: 2, tenant: p.cfg.Tenant, in: len(p.cfg.Logins) == 0}
+}
+
+// session is what one connection has set. Only its reader uses it.
+type session struct {
+	p      *Protocol
+	id     uint64
+	cmd    resp.Command
+	proto  int
+	tenant string
+	in     bool // logged in, or nobody has to
+	asking bool // the next command may be for a slot of another router
+	name   []byte
+}
+
+// Malformed is the answer to input that makes no sense.
+func (s *session) Malformed(err error) ([]byte, bool) {
+	if !errors.Is(err, resp.ErrProtocol) {
+		return nil, false
+	}
+	return resp.AppendError(nil, "ERR "+err.Error()), true
+}
+
+// Read reads a command.
+func (s *session) Read(in *bufio.Reader, e *engine.Engine, ready func() bool) (front.Command, error) {
+	if err := resp.NewReader(in).ReadCommand(&s.cmd); err != nil {
+		return front.Command{}, err
+	}
+	args := s.cmd.Args
+	if len(args) == 0 {
+		return front.Command{}, nil
+	}
+	name := strings.ToUpper(string(args[0][:min(len(args[0]), 32)]))
+	asking := s.asking
+	s.asking = false
+	if name == "YOKE" {
+		return s.yoke(e, args, asking, ready)
+	}
+	return s.run(e, name, args, asking, ready, facts{})
+}
+
+// facts are what a client says of one command by YOKE.
+type facts struct {
+	class    string
+	deadline float64
+}
+
+// yoke reads YOKE class=NAME,d=MS COMMAND ...: the class and the deadline of that one command.
+func (s *session) yoke(e *engine.Engine, args [][]byte, asking bool, ready func() bool) (front.Command, error) {
+	if len(args) < 3 {
+		return text(resp.AppendError(nil, "ERR wrong number of arguments for 'yoke' command: YOKE class=NAME,d=MS COMMAND ...")), nil
+	}
+	var f facts
+	for part := range strings.SplitSeq(string(args[1]), ",") {
+		k, v, _ := strings.Cut(part, "=")
+		switch n, err := strconv.ParseFloat(v, 64); {
+		case k == "class" && v != "":
+			f.class = v
+		case k == "d" && err == nil && n >= 1 && n < 1e9:
+			f.deadline = n
+		default:
+			return text(resp.AppendError(nil, fmt.Sprintf("ERR yoke: %.40q; class=NAME and d=MS are taken", part))), nil
+		}
+	}
+	rest := args[2:]
+	return s.run(e, strings.ToUpper(string(rest[0][:min(len(rest[0]), 32)])), rest, asking, ready, f)
+}
+
+func text(b []byte) front.Command { return front.Command{Text: b} }
+
+// run answers a command, or makes a request of it.
+func (s *session) run(e *engine.Engine, name string, args [][]byte, asking bool, ready func() bool, f facts) (front.Command, error) {
+	c := specs[name]
+	switch {
+	case c == nil && refusals[name] != "":
+		return text(resp.AppendError(nil, refusals[name])), nil
+	case c == nil:
+		return front.Command{Text: resp.AppendError(nil, fmt.Sprintf("ERR unknown command '%.40s'", printable(args[0])))}, nil
+	case c.arity >= 0 && len(args) != c.arity, len(args) < -c.arity, c.step == 2 && len(args)%2 == 0:
+		return text(resp.AppendError(nil, "ERR wrong number of arguments for '"+strings.ToLower(name)+"' command")), nil
+	case !s.in && name != "AUTH" && name != "HELLO" && name != "QUIT":
+		return text(resp.AppendError(nil, "NOAUTH Authentication required.")), nil
+	case c.local != nil:
+		return front.Command{Text: c.local(s, args), End: name == "QUIT"}, nil
+	case !ready():
+		return text(resp.AppendError(nil, "LOADING the router has no list of servers yet")), nil
+	}
+	keys := c.keys(args)
+	slot := slots.Of(keys[0])
+	for _, k := range keys[1:] {
+		if slots.Of(k) != slot {
+			return text(resp.AppendError(nil, "CROSSSLOT Keys in request don't hash to the same slot")), nil
+		}
+	}
+	if to := s.p.elsewhere(slot, asking); to != "" {
+		return text(resp.AppendError(nil, to)), nil
+	}
+	return s.request(e, c, args, keys, slot, f), nil
+}
+
+// printable keeps what a client has sent from breaking a line.
+func printable(b []byte) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, string(b[:min(len(b), 40)]))
+}
+
+// class is the class of a command: the client's word, a rule's, or the usual one.
+func (s *session) class(c *spec, key []byte, f facts) string {
+	if f.class != "" {
+		return f.class
+	}
+	for _, r := range s.p.cfg.Rules {
+		named := len(r.Commands) == 0
+		for _, n := range r.Commands {
+			named = named || n == c.name
+		}
+		if named && bytes.HasPrefix(key, []byte(r.Prefix)) {
+			return r.Class
+		}
+	}
+	if c.write {
+		return s.p.cfg.Write
+	}
+	return s.p.cfg.Read
+}
+
+// request makes a request of a command. What is kept of it is one copy of its words.
+func (s *session) request(e *engine.Engine, c *spec, args, keys [][]byte, slot int, f facts) front.Command {
+	name := s.class(c, keys[0], f)
+	class, ok := e.Class(name)
+	switch {
+	case !ok:
+		return text(resp.AppendError(nil, fmt.Sprintf("ERR unknown class %.40q", name)))
+	case class.Effect == decide.Repeatable && !c.safe(args):
+		return text(resp.AppendError(nil, fmt.Sprintf("ERR class %s may run twice, and %s must not: name another class for it", class.Name, c.name)))
+	}
+	size := 0
+	for _, a := range args {
+		size += len(a)
+	}
+	if !e.Room(size) {
+		return text(refused(0))
+	}
+	deadline := class.Deadline
+	if f.deadline > 0 {
+		deadline = min(deadline, f.deadline)
+	}
+	proto := s.proto
+	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: "r" + strconv.FormatUint(s.p.ids.Add(1), 16), Class: class.Name, Tenant: s.tenant,
+		Key: string(keys[0]), Held: size, Wait: deadline, Write: c.write, Owners: s.p.cfg.Owners(slot, c.write), Words: clone(args, size)},
+		Render: func(q *engine.Request, a engine.Answer) []byte { return render(a, proto) }}
+}
+
+// clone copies words into one piece of memory.
+func clone(args [][]byte, size int) [][]byte {
+	buf, out := make([]byte, 0, size), make([][]byte, 0, len(args))
+	for _, a := range args {
+		at := len(buf)
+		buf = append(buf, a...)
+		out = append(out, buf[at:len(buf):len(buf)])
+	}
+	return out
+}
+
+// refused is a refusal. Clients of the cluster dialect resend by themselves after TRYAGAIN, which is harmless here, and
+// keep their map of slots; docs/design/resp.md has the table of what each resends after.
+func refused(wait float64) []byte {
+	if wait < 1 {
+		return resp.AppendError(nil, "TRYAGAIN busy")
+	}
+	return resp.AppendError(nil, fmt.Sprintf("TRYAGAIN busy, come again after %d ms", int64(wait)))
+}
+
+// failure promises nothing. No client resends by itself after an error of the word ERR.
+func failure() []byte {
+	return resp.AppendError(nil, "ERR failed: the command may have run")
+}
+
+// render is the final answer to a request.
+func render(a engine.Answer, proto int) []byte {
+	switch a.Result {
+	case engine.Served:
+		if r, ok := a.Content.(*resp.Reply); ok {
+			return resp.AppendReply(nil, r, proto)
+		}
+		return resp.AppendBulk(nil, a.Body)
+	case engine.Refused:
+		return refused(a.Wait)
+	}
+	return failure()
+}
+
+// home is the number of the router that owns a slot: equal runs, in the order of the peers.
+func (p *Protocol) home(slot int) int { return slot * len(p.cfg.Peers) / slots.Count }
+
+// elsewhere is the error that sends a client to the router that serves a slot, "" where it is this one. A router that
+// drains hands its slots on by ASK: the next one serves them by leave, and its map names this one until it has gone.
+func (p *Protocol) elsewhere(slot int, asking bool) string {
+	home := p.home(slot)
+	switch {
+	case home == p.cfg.Me && p.draining.Load() && len(p.cfg.Peers) > 1:
+		return fmt.Sprintf("ASK %d %s", slot, p.cfg.Peers[(p.cfg.Me+1)%len(p.cfg.Peers)])
+	case home == p.cfg.Me || asking:
+		return ""
+	}
+	return fmt.Sprintf("MOVED %d %s", slot, p.cfg.Peers[home])
+}
+
+// login checks a password in constant time, whatever user is named.
+func (p *Protocol) login(user, password []byte) (tenant string, ok bool) {
+	sum := sha256.Sum256(password)
+	for _, l := range p.cfg.Logins {
+		if subtle.ConstantTimeCompare(sum[:], l.SHA256[:])&subtle.ConstantTimeCompare(user, []byte(l.User)) == 1 {
+			tenant, ok = l.Tenant, true
+		}
+	}
+	return tenant, ok
+}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -11,9 +11,10 @@
 	"time"
 
 	"mossproxy.example/mossproxy/internal/backend"
+	servers "mossproxy.example/mossproxy/internal/backend/meta"
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/front"
-	"mossproxy.example/mossproxy/internal/front/meta"
+	clients "mossproxy.example/mossproxy/internal/front/meta"
 	protocol "mossproxy.example/mossproxy/internal/proto/meta"
 	"mossproxy.example/mossproxy/internal/sock"
 
@@ -25,12 +26,12 @@
 	t.Helper()
 	cfg := testConfig(t, "127.0.0.1:1", member.List{})
 	cfg.Limits.MemoryMB = memoryMB
-	e, err := newEngine(cfg, &links{backend.NewPool(10*time.Second, time.Second, 100), "origin"})
+	e, err := newEngine(cfg, &links{backend.NewPool(10*time.Second, time.Second, 100), servers.Protocol{}, "origin"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	ln := listenLocal(t)
-	s := front.New(e, meta.Protocol{}, ln, places)
+	s := front.New(e, clients.Protocol{}, ln, places)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- /dev/null
+++ b/internal/router/resp_test.go
@@ -0,0 +1,525 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/redis/go-redis/v9"
+
+	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/slots"
+	"mossproxy.example/mossproxy/internal/standin"
+)
+
+const respConfigText = `site = "a"
+[limits]
+descriptors = 2048
+[attempts]
+cancel = false
+[[class]]
+name = "read"
+effect = "repeatable"
+aim_ms = 800
+deadline_ms = 2000
+[[class]]
+name = "poll"
+effect = "once"
+aim_ms = 500
+deadline_ms = 1000
+[[tenant]]
+name = "t"
+share_per_s = 100000
+[[pool]]
+name = "p"
+listen = "127.0.0.1:0"
+protocol = "resp"
+[pool.resp]
+seeds = ["SEED"]
+read_class = "read"
+write_class = "poll"
+MORE
+[end]
+`
+
+func startCluster(t testing.TB, primaries, replicas int) *standin.Cluster {
+	t.Helper()
+	c, err := standin.StartCluster(standin.ClusterConfig{Primaries: primaries, Replicas: replicas, Seed: 5, Keep: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// serveRESP starts a router in front of a cluster, and waits until it serves.
+func serveRESP(t testing.TB, c *standin.Cluster, more string) *running {
+	t.Helper()
+	text := strings.NewReplacer("SEED", c.Nodes()[0].Addr(), "MORE", more).Replace(respConfigText)
+	file, faults := config.ParseFile(filepath.Join(t.TempDir(), "c.toml"), []byte(text))
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	setup, err := Open(file.Pools[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := startSetup(t, setup)
+	if more == "" {
+		p := dialRESP(t, r.addr)
+		until(t, "ready", func() bool { return !strings.HasPrefix(p.ask("GET ready"), "-LOADING") })
+	}
+	return r
+}
+
+// peer is a RESP client's connection that speaks lines.
+type peer struct{ *client }
+
+func dialRESP(t testing.TB, addr string) *peer { return &peer{dial(t, addr)} }
+
+// ask sends a command inline and gives the first line of the answer, with what is in a string behind it.
+func (p *peer) ask(command string) string {
+	p.t.Helper()
+	p.send(command + "\r\n")
+	return p.answer()
+}
+
+func (p *peer) answer() string {
+	p.t.Helper()
+	l, err := p.r.ReadString('\n')
+	if err != nil {
+		return "EOF"
+	}
+	l = strings.TrimSpace(l)
+	if strings.HasPrefix(l, "$") && l != "$-1" {
+		v, err := p.r.ReadString('\n')
+		if err != nil {
+			return "EOF"
+		}
+		return strings.TrimSpace(v)
+	}
+	return l
+}
+
+// keyAt is a key whose slot a node owns.
+func keyAt(c *standin.Cluster, n *standin.Node, prefix string) string {
+	for i := 0; ; i++ {
+		if k := fmt.Sprintf("%s%d", prefix, i); c.Owner(slots.Of([]byte(k))) == n {
+			return k
+		}
+	}
+}
+
+func TestRESPCommands(t *testing.T) {
+	c := startCluster(t, 3, 0)
+	r := serveRESP(t, c, "")
+	p := dialRESP(t, r.addr)
+	for _, s := range [][2]string{
+		{"PING", "+PONG"}, {"ECHO hi", "hi"}, {"SELECT 0", "+OK"}, {"SELECT 1", "-ERR SELECT is not allowed in cluster mode"},
+		{"SET a 1", "+OK"}, {"GET a", "1"}, {"INCR a", ":2"}, {"APPEND a x", ":2"}, {"STRLEN a", ":2"}, {"INCR a", "-ERR value is not an integer or out of range"},
+		{"GET none", "$-1"}, {"MSET {t}1 x {t}2 y", "+OK"}, {"EXISTS {t}1 {t}2 {t}3", ":2"}, {"MGET a b", "-CROSSSLOT Keys in request don't hash to the same slot"},
+		{"DEL {t}1 {t}2", ":2"}, {"GETSET a 7", "2x"}, {"GETDEL a", "7"}, {"SETNX a 1", ":1"}, {"SETNX a 1", ":0"}, {"GET", "-ERR wrong number of arguments for 'get' command"},
+		{"MULTI", "-ERR MULTI: transactions are not taken: a router can't hold several commands together"},
+		{"EVAL x 0", "-ERR EVAL: scripts are not taken: nobody can tell what running one twice does"},
+		{"SUBSCRIBE x", "-ERR SUBSCRIBE: subscriptions are not taken: connect to a server for them"},
+		{"BLPOP x 0", "-ERR BLPOP: blocking commands are not taken: each request has a deadline"},
+		{"NOSUCH", "-ERR unknown command 'NOSUCH'"}, {"CLUSTER KEYSLOT foo", ":12182"}, {"CLIENT SETNAME me", "+OK"}, {"CLIENT GETNAME", "me"},
+		{"YOKE class=read,d=500 GET a", "1"}, {"YOKE class=read INCR a", "-ERR class read may run twice, and INCR must not: name another class for it"},
+		{"YOKE class=none GET a", "-ERR unknown class \"none\""}, {"YOKE k=7 GET a", "-ERR yoke: \"k=7\"; class=NAME and d=MS are taken"},
+		{"COMMAND COUNT", ""}, {"HELLO 4", "-NOPROTO unsupported protocol version"}, {"QUIT", "+OK"}, {"", "EOF"},
+	} {
+		if got := p.ask(s[0]); got != s[1] && s[1] != "" {
+			t.Errorf("%s: %q, want %q", s[0], got, s[1])
+		}
+	}
+	if got := dialRESP(t, r.addr).ask("*1\r\n$-5\r\n"); !strings.HasPrefix(got, "-ERR Protocol error: invalid length") {
+		t.Errorf("a negative length: %q", got)
+	}
+}
+
+// AUTH that is wrong, and that changes within a connection.
+func TestRESPAuth(t *testing.T) {
+	c := startCluster(t, 1, 0)
+	login := func(user, sum string) string {
+		return "[[pool.resp.login]]\nuser = \"" + user + "\"\npassword_sha256 = \"" + sum + "\"\ntenant = \"t\"\n"
+	}
+	r := serveRESP(t, c, login("default", "2bd806c97f0e00af1a1fc3328fa763a9269723c8db8fac4f93af71db186d6e90")+ // "alice" and "bob"
+		login("bob", "81b637d8fcd2c6da6359e6963113a1170de795e4b725b84d1e0b4cfd9ec58ce9"))
+	p := dialRESP(t, r.addr)
+	for _, s := range [][2]string{
+		{"GET a", "-NOAUTH Authentication required."}, {"AUTH wrong", "-WRONGPASS invalid username-password pair or user is disabled."},
+		{"AUTH bob alice", "-WRONGPASS invalid username-password pair or user is disabled."}, {"GET a", "-NOAUTH Authentication required."},
+		{"AUTH alice", "+OK"}, {"SET a 1", "+OK"}, {"AUTH bob wrong", "-WRONGPASS invalid username-password pair or user is disabled."}, {"GET a", "1"},
+		{"AUTH bob bob", "+OK"}, {"GET a", "1"}, {"HELLO 3 AUTH bob wrong", "-WRONGPASS invalid username-password pair or user is disabled."}, {"GET a", "1"},
+	} {
+		if s[0] == "SET a 1" {
+			until(t, "ready", func() bool { return !strings.HasPrefix(p.ask("GET ready"), "-LOADING") })
+		}
+		if got := p.ask(s[0]); got != s[1] {
+			t.Errorf("%s: %q, want %q", s[0], got, s[1])
+		}
+	}
+}
+
+// A command of which the earlier attempt may have run is never sent again, whatever comes back: cut behind the last byte,
+// timed out, answered late, sent on. The servers' record proves it.
+func TestPollRunsOnce(t *testing.T) {
+	for name, spoil := range map[string]func(*standin.Node){
+		"cut": func(n *standin.Node) { n.Set(standin.Cuts) }, "silent": func(n *standin.Node) { n.Set(standin.Silent) },
+		"late": func(n *standin.Node) { n.Late(1200 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, 2, 0)
+			r := serveRESP(t, c, "")
+			n := c.Nodes()[0]
+			key := keyAt(c, n, "poll")
+			slot := slots.Of([]byte(key))
+			spoil(n)
+			p, began := dialRESP(t, r.addr), time.Now()
+			p.send("INCR " + key + "\r\n")
+			until(t, "it ran", func() bool { return c.Record().Times("INCR", key) == 1 })
+			c.Migrate(slot, c.Nodes()[1]) // from now on others are sent on
+			c.Finish(slot)
+			if got := p.answer(); got != "-ERR failed: the command may have run" {
+				t.Errorf("answer %q", got)
+			}
+			if took := time.Since(began); took > 1500*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+			n.Set(standin.Serves)
+			n.Late(0)
+			until(t, "the new owner", func() bool { return p.ask("GET "+key) == "1" })
+			if k := c.Record().Times("INCR", key); k != 1 {
+				t.Errorf("ran %d times", k)
+			}
+		})
+	}
+}
+
+// Each error that a server may give: what the client gets, and how often the command ran.
+func TestRESPErrorTable(t *testing.T) {
+	c := startCluster(t, 2, 0)
+	r := serveRESP(t, c, "")
+	a, b := c.Nodes()[0], c.Nodes()[1]
+	p := dialRESP(t, r.addr)
+	for i, row := range []struct {
+		err, want string
+		ran       int
+	}{
+		{"TRYAGAIN Multiple keys request during rehashing of slot", "-TRYAGAIN busy", 0},
+		{"CLUSTERDOWN Hash slot not served", "-TRYAGAIN busy", 0},
+		{"READONLY You can't write against a read only replica.", "-TRYAGAIN busy", 0},
+		{"LOADING Redis is loading the dataset in memory", "-TRYAGAIN busy", 0},
+		{"MASTERDOWN Link with MASTER is down", "-TRYAGAIN busy", 0},
+		{"BUSY Redis is busy running a script", "-TRYAGAIN busy", 0},
+		{"MISCONF Redis is configured to save RDB snapshots", "-TRYAGAIN busy", 0},
+		{"OOM command not allowed when used memory > 'maxmemory'.", "-TRYAGAIN busy", 0},
+		{"NOREPLICAS Not enough good replicas to write.", "-TRYAGAIN busy", 0},
+		{"NOAUTH Authentication required.", "-TRYAGAIN busy", 0},
+		{"WRONGTYPE Operation against a key holding the wrong kind of value", "-WRONGTYPE Operation against a key holding the wrong kind of value", 0},
+		{"ERR something else", "-ERR something else", 0},
+		{"MOVED 1 " + b.Addr(), "-TRYAGAIN busy", 0},     // b knows better: it sends back, and the way ends
+		{"MOVED 1 " + a.Addr(), "-TRYAGAIN busy", 0},     // to itself
+		{"MOVED 1 127.0.0.1:1", "-TRYAGAIN busy", 0},     // to one that is dead and not listed
+		{"MOVED x y", "-TRYAGAIN busy", 0},               // nonsense
+		{"ASK 1 " + b.Addr(), "-TRYAGAIN busy", 0},       // whose import was aborted: it sends back
+		{"ASK 1 127.0.0.1:1", "-TRYAGAIN busy", 0},       // dead
+		{"MOVED 99999 " + b.Addr(), "-TRYAGAIN busy", 0}, // no slot
+	} {
+		key := keyAt(c, a, fmt.Sprintf("row%d-", i))
+		a.Order(row.err)
+		got := p.ask("INCR " + key)
+		if got != row.want {
+			t.Errorf("%s: %q, want %q", row.err, got, row.want)
+		}
+		if n := c.Record().Times("INCR", key); n != row.ran {
+			t.Errorf("%s: ran %d times, want %d", row.err, n, row.ran)
+		}
+		until(t, "served again after "+row.err, func() bool { return p.ask("SET "+key+" 1") == "+OK" }) // no map stays spoilt
+	}
+}
+
+// A pipeline whose third command is redirected: answers stay in order, commands on a key too.
+func TestPipelineWithARedirection(t *testing.T) {
+	c := startCluster(t, 2, 0)
+	r := serveRESP(t, c, "")
+	a, b := c.Nodes()[0], c.Nodes()[1]
+	stay, moves := keyAt(c, a, "stay"), keyAt(c, a, "moves")
+	slot := slots.Of([]byte(moves))
+	c.Migrate(slot, b)
+	c.Finish(slot) // the router has not heard
+	p := dialRESP(t, r.addr)
+	p.send("SET " + stay + " 1\r\nINCR " + stay + "\r\nSET " + moves + " x\r\nAPPEND " + moves + " y\r\nGET " + moves + "\r\nINCR " + stay + "\r\n")
+	for i, want := range []string{"+OK", ":2", "+OK", ":2", "xy", ":3"} {
+		if got := p.answer(); got != want {
+			t.Errorf("answer %d: %q, want %q", i, got, want)
+		}
+	}
+	if n := c.Record().Times("SET", moves); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// ASK is followed with ASKING for that one command; once the import is aborted, keys are served where they stayed.
+func TestAsk(t *testing.T) {
+	c := startCluster(t, 2, 0)
+	r := serveRESP(t, c, "")
+	a, b := c.Nodes()[0], c.Nodes()[1]
+	tag := "{" + keyAt(c, a, "ask") + "}" // one slot for all that bear it
+	slot := slots.Of([]byte(tag))
+	p := dialRESP(t, r.addr)
+	p.ask("SET " + tag + "old 1")
+	c.Migrate(slot, b)
+	for _, s := range [][2]string{{"GET " + tag + "old", "1"}, {"INCR " + tag + "new", ":1"}, {"INCR " + tag + "new", ":2"}, {"MGET " + tag + "old " + tag + "new", "-TRYAGAIN busy"}} {
+		if got := p.ask(s[0]); got != s[1] {
+			t.Errorf("%s: %q, want %q", s[0], got, s[1])
+		}
+	}
+	c.Abort(slot)
+	if got := p.ask("INCR " + tag + "other"); got != "-TRYAGAIN busy" { // the sender still says ASK, the receiver sends back
+		t.Errorf("while the import is aborted: %q", got)
+	}
+	if n := c.Record().Times("INCR", tag+"other"); n != 0 {
+		t.Errorf("ran %d times", n)
+	}
+	if got := p.ask("GET " + tag + "new"); got != "2" {
+		t.Errorf("what came back: %q", got)
+	}
+}
+
+// A gap in the map: commands on it are refused at once, and served when somebody owns it again.
+func TestGap(t *testing.T) {
+	c := startCluster(t, 2, 0)
+	r := serveRESP(t, c, "")
+	key := keyAt(c, c.Nodes()[0], "gap")
+	slot := slots.Of([]byte(key))
+	c.Drop(slot, slot)
+	p := dialRESP(t, r.addr)
+	if got := p.ask("INCR " + key); got != "-TRYAGAIN busy" {
+		t.Errorf("%q", got)
+	}
+	if n := c.Record().Times("INCR", key); n != 0 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// A client that closes within a pipeline: its requests end, and others go on.
+func TestClientClosesWithinAPipeline(t *testing.T) {
+	c := startCluster(t, 1, 0)
+	r := serveRESP(t, c, "")
+	c.Nodes()[0].Late(100 * time.Millisecond)
+	for range 20 {
+		p := dialRESP(t, r.addr)
+		p.send(strings.Repeat("INCR left\r\n", 10) + "*2\r\n$3\r\nGET\r\n$100\r\nhal")
+		p.Close()
+	}
+	c.Nodes()[0].Late(0)
+	if got := dialRESP(t, r.addr).ask("SET after 1"); got != "+OK" {
+		t.Errorf("%q", got)
+	}
+}
+
+// A failover in which the old primary goes on answering: writes go to the new one as soon as a map tells.
+func TestFailover(t *testing.T) {
+	c := startCluster(t, 2, 1)
+	r := serveRESP(t, c, "")
+	old, replica := c.Nodes()[0], c.Nodes()[2]
+	key := keyAt(c, old, "fail")
+	p := dialRESP(t, r.addr)
+	p.ask("SET " + key + " 1")
+	c.Fail(replica)
+	began := time.Now()
+	until(t, "a write at the new primary", func() bool {
+		p.ask("SET " + key + " 2")
+		ran, _ := c.Record().All()
+		return ran[len(ran)-1].Node == replica.Addr()
+	})
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("after %v", took)
+	}
+	old.Kill()
+	for i := range 20 {
+		if got := p.ask(fmt.Sprintf("SET %s %d", key, i)); got != "+OK" {
+			t.Errorf("with the old primary dead: %q", got)
+		}
+	}
+}
+
+// Peers: slots of another router are sent there, and a router that drains hands its own on by ASK, which that one serves.
+func TestPeers(t *testing.T) {
+	c := startCluster(t, 2, 0)
+	lns := []net.Listener{listenLocal(t), listenLocal(t)}
+	peers := fmt.Sprintf("peers = [%q, %q]\n", lns[0].Addr().String(), lns[1].Addr().String())
+	var stops []context.CancelFunc
+	for i, ln := range lns {
+		text := strings.NewReplacer("SEED", c.Nodes()[0].Addr(), "MORE", peers).Replace(respConfigText)
+		file, faults := config.ParseFile("c.toml", fmt.Appendf(nil, "%s[tier]\nrouters = 2\nme = %d\n[end]\n", strings.TrimSuffix(text, "[end]\n"), i))
+		if faults != nil {
+			t.Fatal(faults)
+		}
+		setup, err := Open(file.Pools[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			Serve(ctx, setup, ln, nil) //nolint:errcheck // the test's answers tell
+		}()
+		stops = append(stops, stop)
+		t.Cleanup(func() { stop(); <-done })
+	}
+	one, two := dialRESP(t, lns[0].Addr().String()), dialRESP(t, lns[1].Addr().String())
+	low, high := "", "" // keys of the first router's slots and of the second's
+	for i := 0; low == "" || high == ""; i++ {
+		if k := fmt.Sprint("k", i); slots.Of([]byte(k)) < slots.Count/2 {
+			low = k
+		} else {
+			high = k
+		}
+	}
+	until(t, "both are ready", func() bool { return one.ask("SET "+low+" 1") == "+OK" && two.ask("SET "+high+" 1") == "+OK" })
+	if got, want := one.ask("GET "+high), fmt.Sprintf("-MOVED %d %s", slots.Of([]byte(high)), lns[1].Addr()); got != want {
+		t.Errorf("another's slot: %q, want %q", got, want)
+	}
+	stops[0]()
+	want := fmt.Sprintf("-ASK %d %s", slots.Of([]byte(low)), lns[1].Addr())
+	drained := ""
+	until(t, "the slots are handed on, or the connection ends", func() bool {
+		drained = one.ask("GET " + low)
+		return drained == want || drained == "EOF"
+	})
+	if two.ask("ASKING") != "+OK" || two.ask("GET "+low) != "1" {
+		t.Error("the other router does not serve by leave")
+	}
+	if got := two.ask("GET " + low); !strings.HasPrefix(got, "-MOVED ") {
+		t.Errorf("without leave: %q", got)
+	}
+}
+
+// Mixed clients, our own and the cluster client of go-redis, under migration, failover and drains: each command has one
+// final answer, none after its deadline, and no poll runs twice.
+func TestMixedClients(t *testing.T) {
+	c := startCluster(t, 3, 1)
+	r := serveRESP(t, c, "")
+	rc := redis.NewClusterClient(&redis.ClusterOptions{Addrs: []string{r.addr}, PoolSize: 16})
+	defer rc.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var polls, answered, acked, late atomic.Int64
+	var mu sync.Mutex
+	var keys []string
+	var wg sync.WaitGroup
+	poll := func(name string, n int, do func(key string) (bool, error)) {
+		for i := range n {
+			key := fmt.Sprintf("%s-%d", name, i)
+			polls.Add(1)
+			began := time.Now()
+			ok, err := do(key)
+			if errors.Is(err, io.EOF) {
+				t.Errorf("%s: the connection ended", key)
+			}
+			answered.Add(1)
+			if ok {
+				acked.Add(1)
+				mu.Lock()
+				keys = append(keys, key)
+				mu.Unlock()
+			}
+			if time.Since(began) > 1300*time.Millisecond && name[0] == 'o' {
+				late.Add(1)
+			}
+		}
+	}
+	for w := range 8 {
+		wg.Go(func() {
+			p := dialRESP(t, r.addr)
+			poll(fmt.Sprint("own", w), 150, func(key string) (bool, error) {
+				got := p.ask("INCR " + key)
+				if got == "EOF" {
+					return false, io.EOF
+				}
+				if got != ":1" && !strings.HasPrefix(got, "-TRYAGAIN") && !strings.HasPrefix(got, "-ERR failed") {
+					t.Errorf("%s: %q", key, got)
+				}
+				return got == ":1", nil
+			})
+		})
+		wg.Go(func() {
+			poll(fmt.Sprint("real", w), 150, func(key string) (bool, error) {
+				n, err := rc.Incr(ctx, key).Result()
+				if err == nil && n != 1 {
+					t.Errorf("%s: %d", key, n)
+				}
+				return err == nil, err
+			})
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for s := 0; ; s += 7 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(3 * time.Millisecond):
+			}
+			slot := s % slots.Count
+			to := c.Nodes()[(s/7)%3]
+			if c.Owner(slot) != to {
+				c.Migrate(slot, to)
+				c.MoveKeys(slot, 2)
+				c.Finish(slot, c.Nodes()[(s/7+1)%3]) // one node does not hear at once
+			}
+			if s/7 == 40 {
+				c.Fail(c.Nodes()[3]) // takes over from the first primary
+			}
+			if s/7 == 60 {
+				c.Hear(c.Nodes()[0])
+			}
+			if s/7%10 == 0 {
+				c.Nodes()[1].Order("CLUSTERDOWN x", "TRYAGAIN x", "LOADING x")
+				for _, n := range c.Nodes()[1:] {
+					c.Hear(n)
+				}
+			}
+		}
+	}()
+	wg.Wait()
+	stop()
+	<-done
+	ran, whole := c.Record().All()
+	if !whole {
+		t.Fatal("the record is not whole")
+	}
+	times := map[string]int{}
+	for _, x := range ran {
+		if x.Args[0] == "INCR" || x.Args[0] == "incr" {
+			times[x.Args[1]]++
+		}
+	}
+	for k, n := range times {
+		if n > 1 {
+			t.Errorf("%s ran %d times", k, n)
+		}
+	}
+	for _, k := range keys {
+		if times[k] != 1 {
+			t.Errorf("%s was acknowledged and ran %d times", k, times[k])
+		}
+	}
+	if answered.Load() != polls.Load() || late.Load() > 0 || acked.Load() < polls.Load()*8/10 {
+		t.Errorf("%d polls, %d answered, %d acknowledged, %d late", polls.Load(), answered.Load(), acked.Load(), late.Load())
+	}
+	t.Logf("%d polls, %d acknowledged", polls.Load(), acked.Load())
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,12 +9,14 @@
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/backend"
-	servers "mossproxy.example/mossproxy/internal/backend/meta"
+	"mossproxy.example/mossproxy/internal/backend/meta"
 	"mossproxy.example/mossproxy/internal/backend/origin"
+	servers "mossproxy.example/mossproxy/internal/backend/resp"
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/front"
-	"mossproxy.example/mossproxy/internal/front/meta"
+	clients "mossproxy.example/mossproxy/internal/front/meta"
+	"mossproxy.example/mossproxy/internal/front/resp"
 	"mossproxy.example/mossproxy/internal/member"
 	protocol "mossproxy.example/mossproxy/internal/proto/meta"
 )
@@ -26,21 +28,22 @@
 type Setup struct {
 	*config.Config
 	Servers *member.FileSource // the server file, opened; nil = discovery tells of servers
+	cluster *servers.Cluster   // of a pool that speaks RESP
 }
 
 // Open opens the server file that a configuration names. Without one, discovery tells of servers.
 func Open(cfg *config.Config) (Setup, error) {
 	s := Setup{Config: cfg}
-	if cfg.Source.Path == "" {
+	if cfg.RESP != nil {
+		s.cluster = newCluster(cfg)
 		return s, nil
 	}
-	began := time.Now()
-	now := func() float64 {
-		return float64(began.UnixMicro())/1000 + float64(time.Since(began).Microseconds())/1000
+	if cfg.Source.Path == "" {
+		return s, nil
 	}
 	log := func(format string, args ...any) { log.Printf(cfg.Name+": "+format, args...) }
 	var err error
-	s.Servers, err = member.OpenFile(cfg.Source, now, log)
+	s.Servers, err = member.OpenFile(cfg.Source, unixMS(), log)
 	return s, err
 }
 
@@ -53,7 +56,7 @@
 	sockets := cfg.Limits.Sockets - config.FDReserve
 	// Each attempt may hold a value of full length: all together a quarter of the memory.
 	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/protocol.MaxValue))
-	links := newLinks(cfg.Config, attempts)
+	links := newLinks(cfg, attempts)
 	e, err := newEngine(cfg.Config, links)
 	if err != nil {
 		return err
@@ -67,11 +70,11 @@
 	r := &router{Engine: e}
 	wg.Go(func() { e.Run(work) })
 	wg.Go(func() { links.pool.Sweep(work) })
-	if cfg.Servers == nil {
+	if cfg.Servers == nil && cfg.cluster == nil {
 		r.Post(func() { r.list(decide.Remembered, cfg.Known) })
 	}
 	wg.Go(func() { r.discover(work, cfg, updates) })
-	s := front.New(e, meta.Protocol{}, ln, sockets*11/20)
+	s := front.New(e, cfg.clients(ln.Addr().String()), ln, sockets*11/20)
 	s.Start()
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
 
@@ -98,26 +101,62 @@
 func newEngine(cfg *config.Config, b engine.Backend) (*engine.Engine, error) {
 	// A value is in memory up to three times, as it came and as it goes out.
 	return engine.New(engine.Options{Module: cfg.Checked.Config, Seed: cfg.SeedNumber, Held: cfg.Limits.MemoryMB << 20 / 16,
-		Queued: cfg.Limits.MemoryMB << 20 / 8, Infers: cfg.Source.Path != ""}, b)
+		Queued: cfg.Limits.MemoryMB << 20 / 8, Infers: cfg.Source.Path != "" || cfg.RESP != nil}, b)
+}
+
+// unixMS is Unix time in ms that never runs backwards.
+func unixMS() func() float64 {
+	began := time.Now()
+	return func() float64 {
+		return float64(began.UnixMicro())/1000 + float64(time.Since(began).Microseconds())/1000
+	}
+}
+
+// newCluster is the cluster of a pool that speaks RESP.
+func newCluster(cfg *config.Config) *servers.Cluster {
+	log := func(format string, args ...any) { log.Printf(cfg.Name+": "+format, args...) }
+	return servers.NewCluster(servers.Config{Seeds: cfg.RESP.Seeds, Site: cfg.Checked.Config.Zone, Now: unixMS(), Log: log,
+		Protocol: servers.Protocol{User: cfg.RESP.User, Password: cfg.RESP.Password, Replicas: cfg.RESP.Replicas}})
+}
+
+// clients is what the clients of a pool speak, that come to an address.
+func (s Setup) clients(addr string) front.Protocol {
+	if s.cluster == nil {
+		return clients.Protocol{}
+	}
+	r := s.RESP
+	c := resp.Config{Read: r.Read, Write: r.Write, Tenant: r.Tenant, Peers: r.Peers, Me: s.Checked.Config.Me, Owners: s.cluster.Owners}
+	for _, x := range r.Rules {
+		c.Rules = append(c.Rules, resp.Rule(x))
+	}
+	for _, x := range r.Logins {
+		c.Logins = append(c.Logins, resp.Login(x))
+	}
+	return resp.New(c, addr)
 }
 
 // links are the ways to cache servers and origin.
 type links struct {
 	pool   *backend.Pool
+	cache  backend.Protocol
 	origin string // the kind of the origin
 }
 
-func newLinks(cfg *config.Config, limit int) *links {
+func newLinks(cfg Setup, limit int) *links {
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-	return &links{backend.NewPool(ms(cfg.Checked.Config.ConnIdle), ms(cfg.Checked.ConnectTimeout), limit), cfg.Checked.Config.OriginKind}
+	l := &links{backend.NewPool(ms(cfg.Checked.Config.ConnIdle), ms(cfg.Checked.ConnectTimeout), limit), meta.Protocol{}, cfg.Checked.Config.OriginKind}
+	if cfg.cluster != nil {
+		l.cache = cfg.cluster.Protocol()
+	}
+	return l
 }
 
 // Link is the way to a server, in the protocol that it speaks.
 func (l *links) Link(s engine.Server) engine.Link {
-	if s.Kind == l.origin {
+	if l.origin != "" && s.Kind == l.origin {
 		return l.pool.Link(s.Addr, origin.Protocol{})
 	}
-	return l.pool.Link(s.Addr, servers.Protocol{})
+	return l.pool.Link(s.Addr, l.cache)
 }
 
 // list takes a list of servers from its source.
@@ -206,6 +245,11 @@
 		}
 		heard(func() { r.list(kind, got) })
 	}
+	if cfg.cluster != nil {
+		s.watch = cfg.cluster.Doubt
+		s.run = func(ctx context.Context) { cfg.cluster.Run(ctx, s.tell) }
+		return s
+	}
 	if cfg.Servers != nil {
 		s.watch = func() {}
 		s.run = func(ctx context.Context) {
