--- a/internal/proto/resp/resp.go
+++ b/internal/proto/resp/resp.go
@@ -23,7 +23,7 @@
 )
 
 // ErrProtocol is the root of all errors about what a peer has sent.
-var ErrProtocol = errors.New("Protocol error")
+var ErrProtocol = errors.New("protocol error")
 
 func broken(format string, args ...any) error {
 	return fmt.Errorf("%w: %s", ErrProtocol, fmt.Sprintf(format, args...))
--- a/internal/router/resp_test.go
+++ b/internal/router/resp_test.go
@@ -140,7 +140,7 @@
 			t.Errorf("%s: %q, want %q", s[0], got, s[1])
 		}
 	}
-	if got := dialRESP(t, r.addr).ask("*1\r\n$-5\r\n"); !strings.HasPrefix(got, "-ERR Protocol error: invalid length") {
+	if got := dialRESP(t, r.addr).ask("*1\r\n$-5\r\n"); !strings.HasPrefix(got, "-ERR protocol error: invalid length") {
 		t.Errorf("a negative length: %q", got)
 	}
 }
