--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -375,6 +375,14 @@
 		return resp.AppendSimple(nil, "OK"), Serves, 0
 	case "CLUSTER":
 		return n.cluster(args), Serves, 0
+	case "HELLO": // real clients begin with it, and make a connection anew where it fails
+		b := resp.AppendArray(nil, 4)
+		b = resp.AppendBulk(resp.AppendBulk(b, []byte("server")), []byte("redis"))
+		return resp.AppendInt(resp.AppendBulk(b, []byte("proto")), 2), Serves, 0
+	case "CLIENT":
+		return resp.AppendSimple(nil, "OK"), Serves, 0
+	case "COMMAND":
+		return resp.AppendArray(nil, 0), Serves, 0
 	}
 	if n.mode == Hangs || n.mode == Drops || n.mode == Dead {
 		return nil, n.mode, 0
