--- a/internal/router/resp_test.go
+++ b/internal/router/resp_test.go
@@ -21,8 +21,6 @@
 )
 
 const respConfigText = `site = "a"
-[limits]
-descriptors = 2048
 [attempts]
 cancel = false
 [[class]]
