Hand slots on from SIGTERM on, and measure what a redirection costs

A router that was told to stop answered LOADING to what came on open connections, as a draining one is not ready, and ASK was never seen: the test took the end of the connection for it. Slots are handed on from the signal on, through the half second in which clients still come, and the test asks for just that.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -443,10 +443,12 @@
 // ready says whether clients may be sent here: a list is held and the router goes on.
 func (s *Clients) ready() bool { return s.e.Ready() && !s.draining.Load() }
 
+// HandOn sends clients elsewhere from now on, where the protocol can; what they send all the same is served.
+func (s *Clients) HandOn() { s.proto.Drain() }
+
 // Drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
 func (s *Clients) Drain(ctx context.Context) {
 	s.draining.Store(true)
-	s.proto.Drain()
 	s.mu.Lock()
 	for c := range s.conns {
 		c.drain()
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -95,7 +95,7 @@
 }
 
 // Read reads a command.
-func (s *session) Read(in *bufio.Reader, e *engine.Engine, ready func() bool) (front.Command, error) {
+func (s *session) Read(in *bufio.Reader, e *engine.Engine, _ func() bool) (front.Command, error) {
 	if err := resp.NewReader(in).ReadCommand(&s.cmd); err != nil {
 		return front.Command{}, err
 	}
@@ -107,9 +107,9 @@
 	asking := s.asking
 	s.asking = false
 	if name == "YOKE" {
-		return s.yoke(e, args, asking, ready)
+		return s.yoke(e, args, asking)
 	}
-	return s.run(e, name, args, asking, ready, facts{})
+	return s.run(e, name, args, asking, facts{})
 }
 
 // facts are what a client says of one command by YOKE.
@@ -119,7 +119,7 @@
 }
 
 // yoke reads YOKE class=NAME,d=MS COMMAND ...: the class and the deadline of that one command.
-func (s *session) yoke(e *engine.Engine, args [][]byte, asking bool, ready func() bool) (front.Command, error) {
+func (s *session) yoke(e *engine.Engine, args [][]byte, asking bool) (front.Command, error) {
 	if len(args) < 3 {
 		return text(resp.AppendError(nil, "ERR wrong number of arguments for 'yoke' command: YOKE class=NAME,d=MS COMMAND ...")), nil
 	}
@@ -136,13 +136,13 @@
 		}
 	}
 	rest := args[2:]
-	return s.run(e, strings.ToUpper(string(rest[0][:min(len(rest[0]), 32)])), rest, asking, ready, f)
+	return s.run(e, strings.ToUpper(string(rest[0][:min(len(rest[0]), 32)])), rest, asking, f)
 }
 
 func text(b []byte) front.Command { return front.Command{Text: b} }
 
 // run answers a command, or makes a request of it.
-func (s *session) run(e *engine.Engine, name string, args [][]byte, asking bool, ready func() bool, f facts) (front.Command, error) {
+func (s *session) run(e *engine.Engine, name string, args [][]byte, asking bool, f facts) (front.Command, error) {
 	c := specs[name]
 	switch {
 	case c == nil && refusals[name] != "":
@@ -155,7 +155,7 @@
 		return text(resp.AppendError(nil, "NOAUTH Authentication required.")), nil
 	case c.local != nil:
 		return front.Command{Text: c.local(s, args), End: name == "QUIT"}, nil
-	case !ready():
+	case !e.Ready():
 		return text(resp.AppendError(nil, "LOADING the router has no list of servers yet")), nil
 	}
 	keys := c.keys(args)
--- a/internal/front/resp/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -97,14 +97,20 @@
 	}
 }
 
-// host is an engine whose requests nobody serves.
+// nowhere is a backend without a way to any server.
+type nowhere struct{}
+
+func (nowhere) Link(engine.Server) engine.Link { return nil }
+
+// newEngine is an engine that holds a list and whose requests nobody serves.
 func newEngine(t testing.TB) *engine.Engine {
 	t.Helper()
 	e, err := engine.New(engine.Options{Held: 1 << 20, Queued: 1 << 20, Module: decide.Config{Routers: 1, Alone: true, MaxAttempts: 4, ColdFrom: 1,
-		FallMult: 3, FallFor: 1000, Classes: []decide.Class{{Name: "r", Aim: 100, Deadline: 500}, {Name: "w", Effect: decide.Once, Aim: 100, Deadline: 700}}}}, nil)
+		FallMult: 3, FallFor: 1000, Classes: []decide.Class{{Name: "r", Aim: 100, Deadline: 500}, {Name: "w", Effect: decide.Once, Aim: 100, Deadline: 700}}}}, nowhere{})
 	if err != nil {
 		t.Fatal(err)
 	}
+	e.List(decide.Full, []engine.Server{{Entry: decide.Entry{ID: 7, Size: 1}, Addr: "127.0.0.1:1"}})
 	return e
 }
 
--- a/internal/router/resp_real_test.go
+++ b/internal/router/resp_real_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -207,3 +208,35 @@
 	b.ReportMetric(routed/float64(b.N), "routed/s")
 	b.ReportMetric(routed/direct, "ratio")
 }
+
+// BenchmarkMoved gives the time of the first read after its slot has moved, which is redirected, and of the next, which
+// goes to the new owner at once: the difference is what a redirection costs.
+func BenchmarkMoved(b *testing.B) {
+	c := startCluster(b, 2, 0)
+	r := serveRESP(b, c, "")
+	p := dialRESP(b, r.addr)
+	p.SetDeadline(time.Now().Add(time.Minute))
+	var first, next []float64
+	for i := 0; b.Loop(); i++ { // another slot each time: one that goes to and fro is doubted
+		key := fmt.Sprint("moving-", i)
+		slot := slots.Of([]byte(key))
+		to := c.Nodes()[0]
+		if c.Owner(slot) == to {
+			to = c.Nodes()[1]
+		}
+		c.Migrate(slot, to)
+		c.Finish(slot)
+		for _, at := range []*[]float64{&first, &next} {
+			began := time.Now()
+			if got := p.ask("GET " + key); got != "$-1" {
+				b.Fatal(got)
+			}
+			*at = append(*at, float64(time.Since(began).Microseconds()))
+		}
+	}
+	slices.Sort(first)
+	slices.Sort(next)
+	b.ReportMetric(first[len(first)/2], "moved-p50-us")
+	b.ReportMetric(next[len(next)/2], "next-p50-us")
+	b.ReportMetric(first[len(first)*99/100], "moved-p99-us")
+}
--- a/internal/router/resp_test.go
+++ b/internal/router/resp_test.go
@@ -392,10 +392,12 @@
 	}
 	stops[0]()
 	want := fmt.Sprintf("-ASK %d %s", slots.Of([]byte(low)), lns[1].Addr())
-	drained := ""
-	until(t, "the slots are handed on, or the connection ends", func() bool {
-		drained = one.ask("GET " + low)
-		return drained == want || drained == "EOF"
+	until(t, "the slots are handed on", func() bool {
+		got := one.ask("GET " + low)
+		if got != "1" && got != want {
+			t.Fatalf("while it drains: %q", got)
+		}
+		return got == want
 	})
 	if two.ask("ASKING") != "+OK" || two.ask("GET "+low) != "1" {
 		t.Error("the other router does not serve by leave")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,6 +79,7 @@
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
 
 	<-ctx.Done()
+	s.HandOn()
 	time.Sleep(comeAfterStop)
 	ln.Close()
 	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
