--- a/cmd/cottonyoke/commands.go
+++ b/cmd/cottonyoke/commands.go
@@ -56,7 +56,7 @@
 
 // Help is the page behind serve --help.
 func (serveCmd) Help() string {
-	return `Serves the pools of the configuration until SIGTERM or SIGINT; then new connections are taken for half a second more,
+	return `Serves the pools of the configuration until SIGTERM or SIGINT; then new connections are taken for drain_grace_ms more,
 what was taken is answered, and the program ends with status 0. A configuration or server file that is bad at the start
 ends it with status 1 and each fault as file:line: key: what is wrong, what would be right. A bad server file does not
 where state_dir keeps the last good list: that one serves, and the reason is logged.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/member"
@@ -86,6 +87,7 @@
 	ColdFrom *float64 `toml:"cold_from"`
 	Factor   *float64 `toml:"overload_factor"`
 	For      *float64 `toml:"overload_for_ms"`
+	Grace    *float64 `toml:"drain_grace_ms"`
 }
 
 type classKeys struct {
@@ -248,6 +250,7 @@
 		if len(doc.Pools) > 1 {
 			cfg.Name += "/" + p.Name
 		}
+		cfg.Grace = time.Duration(number(c, "rules.drain_grace_ms", doc.Rules.Grace, 500, 0, 60e3, " ms") * float64(time.Millisecond))
 		cfg.Limits.MemoryMB = int64(float64(memory) * *p.Part / total)
 		cfg.Limits.Sockets = int(float64(sockets) * *p.Part / total)
 		if cfg.Limits.MemoryMB < 16 || cfg.Limits.Sockets < 2*FDReserve {
@@ -464,6 +467,7 @@
 		q := next.Pools[i]
 		at := fmt.Sprintf("pool[%d].", i)
 		differs(at+"name", p.Name != q.Name)
+		differs("rules.drain_grace_ms", p.Grace != q.Grace)
 		differs(at+"listen", p.Listen != q.Listen)
 		differs(at+"protocol or resp", !reflect.DeepEqual(p.RESP, q.RESP))
 		differs(at+"origin", p.Checked.Config.Aside != q.Checked.Config.Aside)
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"mossproxy.example/mossproxy/internal/member"
 	"mossproxy.example/mossproxy/internal/settings"
@@ -33,12 +34,17 @@
 	Pool   string            `json:"-"` // of the program's own configuration
 	Own    bool              `json:"-"` // comes from the program's own configuration, not from the platform's
 	RESP   *RESP             `json:"-"` // the pool speaks RESP; nil = the meta commands
+	Grace  time.Duration     `json:"-"` // how long connections are taken once the router is told to stop
 	Source member.FileConfig `json:"-"` // the server file; without a path, Discovery tells of servers
 }
 
 // FDReserve is what the process holds beside connections: standard streams, the listener, the poller, discovery.
 const FDReserve = 32
 
+// comeAfterStop is for how long connections are taken on the platform once the router is told to stop: for 0.4 s new
+// ones still come.
+const comeAfterStop = 500 * time.Millisecond
+
 // Load reads the configuration at path; getenv fills in what the file leaves out. An error is one line that
 // names the setting.
 func Load(path string, getenv func(string) string) (*Config, error) {
@@ -46,7 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c := new(Config)
+	c := &Config{Grace: comeAfterStop}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,9 +21,6 @@
 	protocol "mossproxy.example/mossproxy/internal/proto/meta"
 )
 
-// comeAfterStop is how long connections are taken once the router is told to stop: for 0.4 s new ones still come.
-const comeAfterStop = 500 * time.Millisecond
-
 // Setup is what a router works by.
 type Setup struct {
 	*config.Config
@@ -80,7 +77,7 @@
 
 	<-ctx.Done()
 	s.HandOn()
-	time.Sleep(comeAfterStop)
+	time.Sleep(cfg.Grace)
 	ln.Close()
 	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
 	for _, k := range cfg.Checked.Config.Classes {
