Test the engine under attempts that end in every way; mend cold_from = 1

The engine had no test of its own for its promise. 3,000 requests over a backend that ends attempts in every way there is, late or never, sends them on at random, and clients that leave: one final answer each, by its deadline, served with its own value; polls never tried again after they may have run, refused only if they have not; nothing left.

It found that with ColdFrom at 1, which the configuration allows, a server that started long ago had a warmth that is no number (0 times infinity), so that no wait could be borne and all was refused.

--- a/decide/owners_test.go
+++ b/decide/owners_test.go
@@ -121,3 +121,14 @@
 		t.Errorf("after the failover: %v", k.list)
 	}
 }
+
+// Servers that start with all of their capacity are no trouble to the arithmetic: what is asked is sent.
+func TestNoColdPhase(t *testing.T) {
+	cfg := testConfig()
+	cfg.ColdFrom, cfg.Cold = 1, 0
+	b, h := start(t, cfg, fleet(3))
+	ask(b, 100001, 1, "read", 42)
+	if len(h.sends) != 1 {
+		t.Errorf("sends %v, refused %v", h.sends, h.refused)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -461,6 +461,9 @@
 
 // warmth is the share of its capacity that a server has at least.
 func (b *Balancer) warmth(s *server) float64 {
+	if math.IsInf(s.fresh, -1) { // started long ago; with ColdFrom at 1 the line below would give no number
+		return 1
+	}
 	return min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*max(0, b.now-s.fresh)/max(b.cfg.Cold, 1))
 }
 
--- /dev/null
+++ b/internal/engine/history_test.go
@@ -0,0 +1,174 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+)
+
+// whim is a backend that ends attempts in every way there is, at once, late or never, drawn from a seed. It counts, for
+// each request, the attempts that are out together and those that may have run.
+type whim struct {
+	mu   sync.Mutex
+	rng  *rand.Rand
+	out  map[string]int
+	ran  map[string]int
+	most int // attempts of one request out at once
+}
+
+func (w *whim) Link(s Server) Link { return &whimLink{w, s.ID} }
+
+type whimLink struct {
+	w  *whim
+	id uint32
+}
+
+func (l *whimLink) Probe(context.Context) (decide.Status, decide.Load) {
+	return decide.OK, decide.NoLoad
+}
+func (l *whimLink) CloseIdle() {}
+func (l *whimLink) Remove()    {}
+
+// Attempt ends as the seed has it. What may have run is counted from begin on.
+func (l *whimLink) Attempt(ctx context.Context, r *Request, _ Try, begin func() bool) Reply {
+	w := l.w
+	w.mu.Lock()
+	status := []decide.Status{decide.OK, decide.OK, decide.OK, decide.Failed, decide.QueueFull, decide.ConnectError, decide.Reset, decide.Ignored, decide.Spoilt}[w.rng.IntN(9)]
+	pause := time.Duration(w.rng.IntN(4)) * time.Millisecond
+	never := w.rng.IntN(12) == 0
+	var owners []uint32
+	if status == decide.Ignored && w.rng.IntN(2) == 0 {
+		owners = []uint32{uint32(w.rng.IntN(6) + 1)}
+	}
+	w.mu.Unlock()
+	if status == decide.ConnectError {
+		return Reply{Status: status, Load: decide.NoLoad, Refused: pause == 0}
+	}
+	if !begin() {
+		return Reply{Status: decide.Canceled, Load: decide.NoLoad}
+	}
+	w.mu.Lock()
+	w.out[r.ID]++
+	w.most = max(w.most, w.out[r.ID])
+	if !status.NeverRan() || never {
+		w.ran[r.ID]++
+	}
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.out[r.ID]--
+		w.mu.Unlock()
+	}()
+	if never {
+		<-ctx.Done()
+		return Reply{Status: decide.Reset, Load: decide.NoLoad}
+	}
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+	return Reply{Status: status, Body: []byte(r.ID), Load: decide.NoLoad, Owners: owners}
+}
+
+// Whatever attempts come to, each request has exactly one final answer by its deadline, served with its own value alone;
+// one that must not run twice never may have, and is refused only if it has not run. Nothing is left of them.
+func TestOneFinalAnswer(t *testing.T) {
+	const requests = 3000
+	w := &whim{rng: rand.New(rand.NewPCG(11, 3)), out: map[string]int{}, ran: map[string]int{}}
+	e, err := New(Options{Seed: 5, Held: 1 << 20, Queued: 1 << 20, Module: decide.Config{Routers: 1, Alone: true, MaxAttempts: 4, ColdFrom: 1, FallMult: 3, FallFor: 1000, ConnIdle: 1000,
+		Classes: []decide.Class{{Name: "read", Aim: 150, Deadline: 200, Worth: 1}, {Name: "poll", Effect: decide.Once, Aim: 150, Deadline: 200, Worth: 1}}}}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.Run(ctx)
+	}()
+	var list []Server
+	for i := range 6 {
+		list = append(list, Server{decide.Entry{ID: uint32(i + 1), Size: 1, Zone: "a"}, fmt.Sprintf("127.0.0.1:%d", i+1)})
+	}
+	e.Post(func() { e.List(decide.Full, list) })
+	answers := make([]atomic.Int32, requests)
+	var results [Gone + 1]atomic.Int64
+	var open sync.WaitGroup
+	rng := rand.New(rand.NewPCG(7, 7))
+	for i := range requests {
+		q := &Request{ID: fmt.Sprint(i), Class: "read", Key: fmt.Sprint("k", rng.IntN(50)), Wait: 200}
+		if i%3 == 0 {
+			q.Class, q.Write = "poll", true
+		}
+		if i%2 == 0 {
+			q.Owners = []uint32{uint32(rng.IntN(6) + 1)}
+		}
+		leaves := i%20 == 19
+		open.Add(1)
+		at := e.Now()
+		tick := &Ticket{}
+		tick.Answer = func(q *Request, a Answer) {
+			results[a.Result].Add(1)
+			if answers[i].Add(1) > 1 {
+				t.Errorf("request %d: a second answer", i)
+				return
+			}
+			defer open.Done()
+			w.mu.Lock()
+			ran := w.ran[q.ID]
+			w.mu.Unlock()
+			switch {
+			case a.Result == Served && string(a.Body) != q.ID:
+				t.Errorf("request %d: served with %q", i, a.Body)
+			case a.Result == Refused && q.Write && ran > 0:
+				t.Errorf("request %d: refused, and %d attempts may have run", i, ran)
+			case e.Now()-at > 200+grace+150: // and what a busy machine takes
+				t.Errorf("request %d: answered after %.0f ms", i, e.Now()-at)
+			}
+		}
+		e.Post(func() { e.Arrive(q, at, tick) })
+		if leaves {
+			e.Post(func() { e.Leave(tick) })
+		}
+		if i%40 == 0 {
+			time.Sleep(time.Millisecond) // some breadth in time; nothing is waited for
+		}
+	}
+	open.Wait()
+	w.mu.Lock()
+	for id, n := range w.ran {
+		var i int
+		fmt.Sscan(id, &i)
+		if i%3 == 0 && n > 1 {
+			t.Errorf("poll %s: %d attempts may have run", id, n)
+		}
+	}
+	if w.most > 1 {
+		t.Errorf("%d attempts of a request out at once", w.most)
+	}
+	w.mu.Unlock()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		got := make(chan Size)
+		e.Post(func() { got <- e.Size() })
+		s := <-got
+		if s.Requests+s.Open == 0 && e.Held.Used() == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%+v are left, %d bytes", s, e.Held.Used())
+		}
+	}
+	for r := Served; r <= Gone; r++ {
+		if r != Doubled && results[r].Load() == 0 {
+			t.Errorf("no answer of kind %d: the test shows little", r)
+		}
+	}
+	stop()
+	<-ended
+}
