--- a/decide/api.go
+++ b/decide/api.go
@@ -121,6 +121,7 @@
 	Retry  bool
 	Write  bool
 	Owners []uint32 // the servers that may serve it, its key's home first; nil = any
+	Stores bool     // no client's: it stores what a fetch of its key has brought, and comes before that one's Outcome
 }
 
 // Status is how an attempt or a probe ended.
@@ -162,7 +163,7 @@
 	Status  Status
 	Latency float64
 	Final   bool // the request has its final answer
-	Note    int  // 1 hit, 2 fetched or miss, 3 miss while another fetch of the key is out
+	Note    int  // 1 hit, 2 fetched or miss, 3 miss while another fetch of the key is out, 4 the origin has none
 	Load    Load
 	Owners  []uint32 // the server sent it on: who may serve it from now on; nil = as before
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -103,6 +103,8 @@
 	coldLate    = 1.5  // times the cold phase: the news of a start may have been late
 	coldWindow  = 6    // parts of the window that a burst may fill
 	guessedCold = 10   // requests a second of a cold server of unknown capacity
+	noneThere   = 4    // an outcome's note: the origin has no value
+	absentFor   = 1000 // ms for which readers of such a key don't wait for each other's fetches
 )
 
 // Servers takes a list update.
@@ -362,6 +364,11 @@
 }
 
 func (b *Balancer) arrive(r *request) {
+	if r.Stores { // who waits for the fetch waits for what it has brought to be there
+		r.key.fetch = r
+		b.try(r)
+		return
+	}
 	b.arrivals.add(b.now, keyTau, 1)
 	b.spare, b.probes = min(maxSpare, b.spare+sparePer), min(maxProbes, b.probes+probeShare)
 	// A few arrivals over the quota's part are chance: two deviations of a count are not.
@@ -372,8 +379,9 @@
 	k := r.key
 	k.work += workTells * (r.work - k.work)
 	k.rate.add(b.now, b.keyMem(), 1)
-	// Where servers fetch by themselves, writes and keys not seen for a while go to the origin too.
-	if b.cfg.Alone {
+	// Where servers fetch by themselves, writes and keys not seen for a while go to the origin too. A write
+	// whose servers are named is theirs.
+	if b.cfg.Alone || r.Write && r.Owners != nil {
 		b.try(r)
 	} else if r.Write || k.fetch != nil || !b.cfg.Aside && b.now > k.stored+oldReport {
 		b.hold(r)
@@ -484,6 +492,9 @@
 	if a.s == b.origin || asked && o.Note != 1 { // 1: it was there after all
 		b.fetched(r, o.Status, o.Latency)
 	}
+	if o.Note == noneThere {
+		r.key.stored, r.key.absent = 0, b.now
+	}
 	if lost {
 		r.key.stored = 0 // the next request of the key takes a place too
 	}
@@ -618,7 +629,7 @@
 			b.try(r)
 		case b.cfg.Aside && (o == nil || o.State != Ready || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
 			b.end(r)
-		case !r.Write && k.fetch != nil || b.fetching() >= max(1, b.fetches):
+		case !r.Write && k.fetch != nil && !b.absent(k) || b.fetching() >= max(1, b.fetches):
 			return false
 		case b.fetches < 1 && b.asked.add(b.now, keyTau, 0) >= b.fetches*keyTau/max(b.olat.v, leastFetch):
 			return false // a whole fetch at each of hundreds of routers jammed the origin
--- a/decide/owners_test.go
+++ b/decide/owners_test.go
@@ -132,3 +132,112 @@
 		t.Errorf("sends %v, refused %v", h.sends, h.refused)
 	}
 }
+
+// asideOf is a Balancer over servers with an origin behind them, which each request names its owners among.
+func asideOf(t *testing.T) (*Balancer, *fakeHost, []uint32, uint32) {
+	t.Helper()
+	cfg := testConfig()
+	cfg.Aside, cfg.OriginKind, cfg.Copies = true, "db", false
+	es := append(fleet(3), Entry{ID: 99, Zone: "a", Kind: "db"})
+	b, h := start(t, cfg, es)
+	return b, h, []uint32{es[0].ID, es[1].ID, es[2].ID}, 99
+}
+
+// A write whose servers are named is theirs, not the origin's; one that names none is the origin's, as ever.
+func TestWritesOfOwnersPassTheOrigin(t *testing.T) {
+	b, h, ids, origin := asideOf(t)
+	askOf(b, 100001, 1, "once", true, ids[1])
+	if len(h.sends) != 1 || h.last().server != ids[1] {
+		t.Errorf("sends %v", h.sends)
+	}
+	askOf(b, 100002, 2, "once", true)
+	if len(h.sends) != 2 || h.last().server != origin {
+		t.Errorf("without owners: sends %v", h.sends)
+	}
+}
+
+// Who waits for a key's fetch waits until what it has brought is stored, and then goes to where it is. A store that fails
+// lets the next one fetch.
+func TestWaitersWaitForTheStore(t *testing.T) {
+	for _, stored := range []Status{OK, TimedOut, ConnectError} {
+		b, h, ids, origin := asideOf(t)
+		askOf(b, 100001, 1, "read", false, ids[0])
+		b.Outcome(100002, Outcome{ID: 1, Server: ids[0], Status: Miss, Note: 2, Latency: 1, Load: NoLoad})
+		askOf(b, 100003, 2, "read", false, ids[0])
+		askOf(b, 100003, 3, "read", false, ids[0])
+		if n := len(h.sends); n != 2 || h.last().server != origin {
+			t.Fatalf("sends %v: one fetch", h.sends)
+		}
+		b.Request(100010, Request{ID: 9, Class: "once", Key: 42, HasKey: true, Left: 250, Write: true, Owners: ids[:1], Stores: true})
+		if s := h.last(); s.server != ids[0] || len(h.sends) != 3 {
+			t.Fatalf("sends %v: the store goes to the owner", h.sends)
+		}
+		b.Outcome(100010, Outcome{ID: 1, Attempt: 1, Server: origin, Status: OK, Latency: 8, Final: true, Load: NoLoad})
+		if len(h.sends) != 3 {
+			t.Fatalf("sends %v: the store is not back", h.sends)
+		}
+		b.spare = 0 // a store is never the one that is tried again here
+		b.Outcome(100012, Outcome{ID: 9, Server: ids[0], Status: stored, Latency: 2, Final: stored == OK, Load: NoLoad})
+		after := h.sends[3:]
+		switch {
+		case stored == OK && (len(after) != 2 || after[0].server != ids[0] || after[1].server != ids[0]):
+			t.Errorf("stored: then %v, want both to go there", after)
+		case stored != OK && (len(after) != 1 || after[0].server != origin):
+			t.Errorf("%v: then %v, want one fetch", stored, after)
+		}
+	}
+}
+
+// A store pays for no further attempts, and counts for no tenant.
+func TestStoresPayForNothing(t *testing.T) {
+	b, _, ids, _ := asideOf(t)
+	b.spare = 0
+	for id := range uint32(20) {
+		b.Request(100001, Request{ID: id + 1, Class: "once", Tenant: "t", Key: uint64(id), HasKey: true, Left: 250, Write: true, Owners: ids[:1], Stores: true})
+	}
+	if b.spare != 0 || b.arrivals.v != 0 {
+		t.Errorf("%v spare, %v arrivals", b.spare, b.arrivals.v)
+	}
+}
+
+// Readers of what the origin has not don't wait for each other, for a second from when it said so.
+func TestNoneThere(t *testing.T) {
+	b, h, ids, origin := asideOf(t)
+	miss := func(now float64, id uint32) {
+		askOf(b, now, id, "read", false, ids[0])
+		b.Outcome(now, Outcome{ID: id, Server: ids[0], Status: Miss, Note: 2, Latency: 1, Load: NoLoad})
+	}
+	fetches := func() (n int) {
+		for _, s := range h.sends {
+			if s.server == origin {
+				n++
+			}
+		}
+		return n
+	}
+	miss(100001, 1)
+	miss(100002, 2)
+	if fetches() != 1 {
+		t.Fatalf("sends %v: one fetch", h.sends)
+	}
+	b.Outcome(100010, Outcome{ID: 1, Attempt: 1, Server: origin, Status: OK, Note: 4, Latency: 8, Final: true, Load: NoLoad})
+	miss(100020, 3)
+	miss(100021, 4)
+	if n := fetches(); n != 4 {
+		t.Errorf("%d fetches, want 4: %v", n, h.sends)
+	}
+	for id := uint32(2); id <= 4; id++ {
+		tries := -1
+		for _, s := range h.sends {
+			if s.id == id {
+				tries++
+			}
+		}
+		b.Outcome(100030, Outcome{ID: id, Attempt: tries, Server: origin, Status: OK, Latency: 8, Final: true, Load: NoLoad})
+	}
+	miss(102000, 5)
+	miss(102001, 6)
+	if n := fetches(); n != 5 {
+		t.Errorf("a second later: %d fetches, want 5: %v", n, h.sends)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -111,7 +111,8 @@
 	list    []*server // memento-hash list
 	v       []*server // solved servers
 	p       []float64 // and their shares
-	fetch   *request  // asks the origin for the key
+	fetch   *request  // asks the origin for the key, or stores what that has brought
+	absent  float64   // when the origin last had none; 0 = never
 	stored  float64   // when a fetch last came back,
 	storeAt *server   // and where its answer was stored
 }
@@ -489,3 +490,6 @@
 	h = k * (2*g*g*g*p/(m*m) + 2*g*g*p1/m + rho*g*p2) / (mu * mu)
 	return f + over*(d+over*h/2), d + over*h, h
 }
+
+// absent says whether the origin had no value of a key lately.
+func (b *Balancer) absent(k *flow) bool { return k.absent > 0 && b.now < k.absent+absentFor }
--- a/internal/backend/origin/origin.go
+++ b/internal/backend/origin/origin.go
@@ -27,7 +27,12 @@
 const rest = 20 * time.Millisecond
 
 // Protocol is a backend.Protocol.
-type Protocol struct{}
+type Protocol struct {
+	Absent bool // status 404 to a read says that there is no value, and is an answer; else it is a failure
+}
+
+// noValue is the note of such an answer.
+const noValue = 4
 
 // Command is the request in the origin's HTTP.
 func (Protocol) Command(addr string, q *engine.Request, _ engine.Try) ([]byte, error) {
@@ -131,7 +136,7 @@
 }
 
 // Answer reads the origin's answer to a request.
-func (Protocol) Answer(in *bufio.Reader, _ string, q *engine.Request, _ engine.Try) (a engine.Reply, last bool, err error) {
+func (p Protocol) Answer(in *bufio.Reader, _ string, q *engine.Request, _ engine.Try) (a engine.Reply, last bool, err error) {
 	a.Load = decide.NoLoad
 	method := http.MethodGet
 	if q.Write {
@@ -148,6 +153,8 @@
 		if q.Write && !isReceipt(a.Body) {
 			return a, true, meta.Malformed("receipt %.40q", a.Body)
 		}
+	case code == http.StatusNotFound && p.Absent && !q.Write:
+		a.Status, a.Body, a.Absent, a.Note = decide.OK, nil, true, noValue
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Unprocessed") == "1":
 		a.Status = decide.QueueFull
--- a/internal/backend/resp/cluster.go
+++ b/internal/backend/resp/cluster.go
@@ -38,8 +38,8 @@
 // Cluster is where the servers of a cluster come from: it asks them for their map, and knows the owners of slots.
 type Cluster struct {
 	cfg  Config
-	want chan struct{} // of capacity 1: a map is asked for soon
-	view atomic.Pointer[view]
+	want chan struct{}                      // of capacity 1: a map is asked for soon
+	view [slots.Count]atomic.Pointer[owner] // what requests read
 
 	mu      sync.Mutex
 	table   *slots.Table
@@ -51,22 +51,16 @@
 	said    string // the last trouble that was logged
 }
 
-// view is what requests read: owners by slot, as the module's numbers.
-type view struct {
-	owners [slots.Count]*owner
-}
-
+// owner is who owns a slot, as the module's numbers. It never changes.
 type owner struct {
 	write []uint32
 	read  []uint32
-	name  string
 }
 
 // NewCluster is a cluster that nothing is known of yet.
 func NewCluster(cfg Config) *Cluster {
 	c := &Cluster{cfg: cfg, want: make(chan struct{}, 1), table: slots.New(), nodes: map[string]float64{}, extra: map[string]float64{}}
 	c.cfg.Protocol.Cluster = c
-	c.view.Store(&view{})
 	return c
 }
 
@@ -82,7 +76,7 @@
 	if slot < 0 || slot >= slots.Count {
 		return none
 	}
-	o := c.view.Load().owners[slot]
+	o := c.view[slot].Load()
 	switch {
 	case o == nil:
 		c.Doubt()
@@ -112,7 +106,8 @@
 	if !c.known(addr) || !c.table.Moved(c.cfg.Now(), slot, addr) {
 		return nil, false
 	}
-	c.publish()
+	o, _ := c.table.Owner(slot)
+	c.view[slot].Store(c.owner(&o)) // that one alone: in a migration redirections come by thousands
 	return []uint32{idOf(addr)}, true
 }
 
@@ -377,22 +372,17 @@
 
 // publish makes the owners known to requests. The caller holds mu.
 func (c *Cluster) publish() {
-	v := &view{}
 	made := map[*slots.Owner]*owner{}
 	for s, o := range c.table.Owners() {
-		if o == nil {
-			continue
-		}
-		if made[o] == nil {
+		if o != nil && made[o] == nil {
 			made[o] = c.owner(o)
 		}
-		v.owners[s] = made[o]
+		c.view[s].Store(made[o]) // nil = nobody
 	}
-	c.view.Store(v)
 }
 
 func (c *Cluster) owner(o *slots.Owner) *owner {
-	out := &owner{name: o.Primary, write: []uint32{idOf(o.Primary)}}
+	out := &owner{write: []uint32{idOf(o.Primary)}}
 	out.read = out.write
 	if c.cfg.Protocol.Replicas {
 		for _, a := range o.Replicas {
@@ -401,11 +391,3 @@
 	}
 	return out
 }
-
-// PrimaryOf is the address of a slot's primary, "" where nobody is known. It may be called from any goroutine.
-func (c *Cluster) PrimaryOf(slot int) string {
-	if o := c.view.Load().owners[slot]; o != nil {
-		return o.name
-	}
-	return ""
-}
--- a/internal/backend/resp/protocol.go
+++ b/internal/backend/resp/protocol.go
@@ -31,20 +31,60 @@
 	User     string // "" = AUTH with a password alone
 	Password string // "" = no AUTH
 	Replicas bool   // connections may read from replicas
+	Origin   bool   // there is one behind the servers: a key that they lack is a miss
 }
 
 var asking = resp.AppendCommand(nil, []byte("ASKING"))
 
-// Command is the client's command, behind ASKING where the server has it by leave.
+// Command is the client's command, behind ASKING where the server has it by leave. A request of another front is a GET or
+// a SET.
 func (Protocol) Command(_ string, r *engine.Request, try engine.Try) ([]byte, error) {
-	if len(r.Words) == 0 {
-		return nil, errors.New("no command")
-	}
 	var b []byte
 	if try.Asking {
 		b = append(b, asking...)
 	}
-	return resp.AppendCommand(b, r.Words...), nil
+	switch {
+	case len(r.Words) > 0:
+		return resp.AppendCommand(b, r.Words...), nil
+	case r.Key == "":
+		return nil, errors.New("no command")
+	case r.Write:
+		return resp.AppendCommand(b, []byte("SET"), []byte(r.Key), r.Value), nil
+	}
+	return resp.AppendCommand(b, []byte("GET"), []byte(r.Key)), nil
+}
+
+// MaxFetched is the longest key that the origin is asked for, in bytes: it becomes part of an address.
+const MaxFetched = 1024
+
+// missed says whether a reply means that the server lacks a key that the origin may have. Commands other than GET are
+// answered by what the servers hold.
+func (p Protocol) missed(r *engine.Request, got *resp.Reply) bool {
+	get := len(r.Words) == 0 || len(r.Words) == 2 && strings.EqualFold(string(r.Words[0]), "GET")
+	return p.Origin && get && !r.Write && got.Kind == resp.Null && len(r.Key) <= MaxFetched
+}
+
+// StoreCommand is the write by which a value of the origin is kept for some ms, only where the key is not there.
+func StoreCommand(key string, value []byte, keep int64) [][]byte {
+	return [][]byte{[]byte("SET"), []byte(key), value, []byte("PX"), strconv.AppendInt(nil, keep, 10), []byte("NX")}
+}
+
+// receipt is what a write of another front gets: the server's word.
+var receipt = []byte("OK")
+
+// plain puts a reply into the terms of other fronts. What is neither value nor receipt stays as it is: the server has
+// answered, so nothing is held against it, and the front can only call it a failure.
+func plain(a *engine.Reply, r *engine.Request, got *resp.Reply) {
+	switch a.Content = nil; {
+	case r.Write && got.Kind == resp.Simple:
+		a.Body = receipt
+	case !r.Write && got.Kind == resp.Null:
+		a.Absent = true
+	case !r.Write && got.Kind == resp.Bulk:
+		a.Body = got.Text
+	default:
+		a.Content = got
+	}
 }
 
 // Open says who we are, and that replicas may answer reads.
@@ -80,7 +120,7 @@
 }
 
 // Answer reads the reply to a command.
-func (p Protocol) Answer(in *bufio.Reader, addr string, _ *engine.Request, try engine.Try) (engine.Reply, bool, error) {
+func (p Protocol) Answer(in *bufio.Reader, addr string, q *engine.Request, try engine.Try) (engine.Reply, bool, error) {
 	r := resp.NewReader(in)
 	if try.Asking {
 		if _, err := r.ReadReply(); err != nil {
@@ -98,6 +138,13 @@
 	if got.IsError() {
 		p.judge(&a, addr, string(got.Text))
 	}
+	switch {
+	case a.Status != decide.OK:
+	case p.missed(q, &got):
+		a.Status, a.Note, a.Content = decide.Miss, 2, nil
+	case len(q.Words) == 0:
+		plain(&a, q, &got)
+	}
 	return a, false, nil
 }
 
--- a/internal/backend/resp/resp_test.go
+++ b/internal/backend/resp/resp_test.go
@@ -36,6 +36,106 @@
 
 func in(text string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(text), resp.MaxLine) }
 
+func command(words ...string) *engine.Request {
+	q := &engine.Request{}
+	for _, w := range words {
+		q.Words = append(q.Words, []byte(w))
+	}
+	return q
+}
+
+// With an origin a GET of what a server lacks is a miss, which has not run; all else is the server's own answer.
+func TestMisses(t *testing.T) {
+	long := command("GET", "k")
+	long.Key = strings.Repeat("k", MaxFetched+1)
+	for _, row := range []struct {
+		q      *engine.Request
+		answer string
+		origin bool
+		want   decide.Status
+	}{
+		{command("GET", "k"), "$-1", true, decide.Miss}, {command("get", "k"), "_", true, decide.Miss}, {command("GET", "k"), "$-1", false, decide.OK},
+		{command("GET", "k"), "$0\r\n", true, decide.OK}, {command("GETDEL", "k"), "$-1", true, decide.OK}, {command("MGET", "k", "l"), "*2\r\n$-1\r\n$-1", true, decide.OK},
+		{long, "$-1", true, decide.OK}, {&engine.Request{Key: "k"}, "$-1", true, decide.Miss}, {&engine.Request{Key: "k", Write: true}, "$-1", true, decide.OK},
+		{command("GET", "k"), "-LOADING x", true, decide.QueueFull},
+	} {
+		a, _, err := Protocol{Cluster: &heard{}, Origin: row.origin}.Answer(in(row.answer+"\r\n"), "10.0.0.1:7000", row.q, engine.Try{})
+		if err != nil || a.Status != row.want || a.Status == decide.Miss && (a.Content != nil || a.Note != 2) {
+			t.Errorf("%q %q: %+v, %v", row.q.Words, row.answer, a, err)
+		}
+	}
+}
+
+// Requests of other fronts: what goes out for them, and what comes back in their terms.
+func TestRequestsOfOtherFronts(t *testing.T) {
+	read, write := &engine.Request{Key: "k"}, &engine.Request{Key: "k", Value: []byte("v\r\n"), Write: true}
+	p := Protocol{Cluster: &heard{}}
+	for _, row := range []struct {
+		q    *engine.Request
+		try  engine.Try
+		want string
+	}{
+		{read, engine.Try{}, "*2\r\n$3\r\nGET\r\n$1\r\nk\r\n"}, {write, engine.Try{}, "*3\r\n$3\r\nSET\r\n$1\r\nk\r\n$3\r\nv\r\n\r\n"},
+		{read, engine.Try{Asking: true}, "*1\r\n$6\r\nASKING\r\n*2\r\n$3\r\nGET\r\n$1\r\nk\r\n"},
+	} {
+		if got, err := p.Command("", row.q, row.try); err != nil || string(got) != row.want {
+			t.Errorf("%q, %v, want %q", got, err, row.want)
+		}
+	}
+	if _, err := p.Command("", &engine.Request{}, engine.Try{}); err == nil {
+		t.Error("a request without a key has a command")
+	}
+	for _, row := range []struct {
+		q              *engine.Request
+		answer, body   string
+		absent, failed bool
+	}{
+		{read, "$1\r\nx", "x", false, false}, {read, "$0\r\n", "", false, false}, {read, "$-1", "", true, false}, {write, "+OK", "OK", false, false},
+		{read, "-WRONGTYPE x", "", false, true}, {write, "-ERR x", "", false, true}, {read, ":7", "", false, true}, {write, "$-1", "", false, true},
+	} {
+		a, _, err := p.Answer(in(row.answer+"\r\n"), "10.0.0.1:7000", row.q, engine.Try{})
+		if err != nil || a.Status != decide.OK || string(a.Body) != row.body || a.Absent != row.absent || (a.Content != nil) != row.failed {
+			t.Errorf("%q: %+v, %v", row.answer, a, err)
+		}
+	}
+}
+
+// A redirection changes the owner of its one slot for those who read, and no other's.
+func TestMovedChangesOneSlot(t *testing.T) {
+	now := 1000.0
+	c := NewCluster(Config{Now: func() float64 { return now }, Log: t.Logf})
+	if err := c.take(slots.Map{Epoch: 1, Ranges: []slots.Range{{From: 0, To: slots.Count - 1, Owner: slots.Owner{Primary: "10.0.0.1:1"}}}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := c.Moved(7, "10.0.0.2:1"); !ok {
+		t.Fatal("not believed")
+	}
+	for s := range slots.Count {
+		want := "10.0.0.1:1"
+		if s == 7 {
+			want = "10.0.0.2:1"
+		}
+		if o := c.Owners(s, true); len(o) != 1 || o[0] != member.ServerID(want) {
+			t.Fatalf("slot %d: %v", s, o)
+		}
+	}
+}
+
+// BenchmarkMoved is what a redirection costs the one that brings it, while a thousand slots move.
+func BenchmarkMoved(b *testing.B) {
+	now := 1000.0
+	c := NewCluster(Config{Now: func() float64 { now += 0.5; return now }, Log: b.Logf})
+	if err := c.take(slots.Map{Epoch: 1, Ranges: []slots.Range{{From: 0, To: slots.Count - 1, Owner: slots.Owner{Primary: "10.0.0.1:1"}}}}); err != nil {
+		b.Fatal(err)
+	}
+	to := []string{"10.0.0.2:1", "10.0.0.1:1"}
+	c.Moved(0, to[0])
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c.Moved(i%10000, to[i/10000%2])
+	}
+}
+
 // Each error of a server: whether it has run, what the cluster hears, and who may serve the request now.
 func TestErrorTable(t *testing.T) {
 	for _, row := range []struct {
@@ -59,7 +159,7 @@
 	} {
 		for _, refuse := range []bool{false, true} {
 			h := &heard{refuse: refuse}
-			a, last, err := Protocol{Cluster: h}.Answer(in(row.answer+"\r\n"), "10.0.0.1:7000", &engine.Request{}, engine.Try{})
+			a, last, err := Protocol{Cluster: h}.Answer(in(row.answer+"\r\n"), "10.0.0.1:7000", command("INCR", "k"), engine.Try{})
 			owners := 0
 			if len(a.Owners) > 0 {
 				owners = int(a.Owners[0])
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -372,11 +372,7 @@
 func (c *checker) pool(at string, p *poolKeys, base decide.Config, names, addresses *[]string) *Config {
 	c.name(at+".name", p.Name, names)
 	cfg := &Config{Listen: p.Listen, Own: true}
-	c.address(at+".listen", p.Listen, true)
-	if slices.Contains(*addresses, p.Listen) && !strings.HasSuffix(p.Listen, ":0") {
-		c.bad(at+".listen", "%q is another pool's; each listens at its own", p.Listen)
-	}
-	*addresses = append(*addresses, p.Listen)
+	c.listen(at+".listen", p.Listen, addresses)
 	if p.Origin == "" {
 		p.Origin = "router"
 	}
@@ -397,7 +393,7 @@
 			c.bad(at+".resp", `belongs to a pool with protocol = "resp"`)
 		}
 	case "resp":
-		c.resp(at, p, cfg)
+		c.resp(at, p, cfg, addresses)
 		return cfg
 	default:
 		c.bad(at+".protocol", "%.40q is no protocol; meta and resp are", p.Protocol)
@@ -416,6 +412,15 @@
 	}
 }
 
+// listen checks an address for clients, which must be nobody else's.
+func (c *checker) listen(key, v string, addresses *[]string) {
+	c.address(key, v, true)
+	if slices.Contains(*addresses, v) && !strings.HasSuffix(v, ":0") {
+		c.bad(key, "%q is another's; each listens at its own", v)
+	}
+	*addresses = append(*addresses, v)
+}
+
 // source checks where a pool's servers come from.
 func (c *checker) source(at string, p *poolKeys, origin bool) member.FileConfig {
 	s := &p.Servers
--- a/internal/config/file_test.go
+++ b/internal/config/file_test.go
@@ -148,7 +148,7 @@
 		t.Errorf("%+v\n%+v", a, b)
 	}
 	_, faults := ParseFile("c.toml", []byte(strings.Replace(text, "127.0.0.1:11212", "127.0.0.1:11211", 1)))
-	if len(faults) != 1 || !strings.Contains(faults.Error(), "is another pool's") {
+	if len(faults) != 1 || !strings.Contains(faults.Error(), "is another's") {
 		t.Errorf("the same address: %v", faults)
 	}
 	_, faults = ParseFile("c.toml", []byte(strings.Replace(text, "memory_mb = 192", "memory_mb = 60", 1)))
--- a/internal/config/resp.go
+++ b/internal/config/resp.go
@@ -20,6 +20,9 @@
 	Logins      []RESPLogin
 	Tenant      string // of clients that need not log in
 	Peers       []string
+	Meta        string // where clients that speak the meta commands come to; "" = nowhere
+	Origin      string // address of the origin; "" = what the servers hold is all there is
+	KeepMS      int64  // for which a value of the origin is stored
 }
 
 // RESPRule maps commands, on keys with a prefix, to a class.
@@ -45,10 +48,17 @@
 	Write        string      `toml:"write_class"`
 	Tenant       string      `toml:"tenant"`
 	Peers        []string    `toml:"peers"`
+	Meta         string      `toml:"meta_listen"`
+	Origin       behindKeys  `toml:"origin"`
 	Rules        []ruleRow   `toml:"rule"`
 	Logins       []loginKeys `toml:"login"`
 }
 
+type behindKeys struct {
+	Address string `toml:"address"`
+	Keep    *int64 `toml:"keep_ms"`
+}
+
 type ruleRow struct {
 	Commands []string `toml:"commands"`
 	Prefix   string   `toml:"prefix"`
@@ -62,7 +72,7 @@
 }
 
 // resp checks a pool that speaks RESP.
-func (c *checker) resp(at string, p *poolKeys, cfg *Config) {
+func (c *checker) resp(at string, p *poolKeys, cfg *Config, addresses *[]string) {
 	k, in := &p.RESP, at+".resp"
 	m := &cfg.Checked.Config
 	// A server that speaks RESP says LOADING until it has its data, and a replica that takes over has them: none is cold.
@@ -71,7 +81,7 @@
 	if p.Origin != "" && p.Origin != "none" {
 		// The default has been filled in by now.
 		if c.d.Line(at+".origin") != c.d.Line(at) {
-			c.bad(at+".origin", "a pool that speaks RESP has none yet: what its servers hold is all there is")
+			c.bad(at+".origin", "belongs to pools that speak the meta commands; [pool.resp.origin] names one with its address")
 		}
 	}
 	if p.Servers != (serversKeys{}) {
@@ -98,6 +108,11 @@
 		out.Rules = append(out.Rules, RESPRule{r.Commands, r.Prefix, c.respClass(here+".class", r.Class, m)})
 	}
 	c.logins(in, k, out)
+	c.behind(in, k, m, out)
+	if k.Meta != "" {
+		c.listen(in+".meta_listen", k.Meta, addresses)
+		out.Meta = k.Meta
+	}
 	if k.PasswordFile != "" {
 		text, err := os.ReadFile(c.relative(k.PasswordFile))
 		if err != nil {
@@ -114,6 +129,22 @@
 	cfg.RESP = out
 }
 
+// OriginKind is how the origin of a pool that speaks RESP stands on its list.
+const OriginKind = "origin"
+
+// behind checks the origin behind a cluster.
+func (c *checker) behind(in string, k *respKeys, m *decide.Config, out *RESP) {
+	if k.Origin == (behindKeys{}) {
+		return
+	}
+	c.address(in+".origin.address", k.Origin.Address, false)
+	if k.Origin.Keep == nil {
+		c.bad(in+".origin.keep_ms", "missing; for how long may the servers give a value that the origin has changed since?")
+	}
+	out.Origin, out.KeepMS = k.Origin.Address, number(c, in+".origin.keep_ms", k.Origin.Keep, 1, 1, 365*24*hour, " ms")
+	m.Alone, m.Aside, m.OriginKind = false, true, OriginKind
+}
+
 // respClass checks that a class is there, and that RESP servers can keep what it asks.
 func (c *checker) respClass(key, name string, m *decide.Config) string {
 	for _, cl := range m.Classes {
--- a/internal/config/resp_test.go
+++ b/internal/config/resp_test.go
@@ -25,7 +25,7 @@
 		t.Errorf("%+v", p.RESP)
 	}
 	c := p.Checked.Config
-	if !c.Alone || c.Aside || c.Weighted || c.Cold != 0 {
+	if c.Alone || !c.Aside || c.OriginKind != OriginKind || c.Weighted || c.Cold != 0 || p.RESP.Origin != "127.0.0.1:8080" || p.RESP.KeepMS != 60000 {
 		t.Errorf("%+v", c)
 	}
 	if _, err := decide.New(c, 1, nil); err != nil {
@@ -50,6 +50,13 @@
 		{"tenant = \"rades-terminal\"    # needed\n\n[end]", "tenant = \"x\"\n\n[end]", `pool[1].resp.login[0].tenant: "x" is no tenant`},
 		{`peers = []`, `peers = ["127.0.0.1:1", "127.0.0.1:2"]`, "pool[1].resp.peers: 2 addresses, and tier.routers says 1"},
 		{`password_file = ""`, `password_file = "none"`, "pool[1].resp.password_file: can't be read"},
+		{`[pool.resp.origin]`, "[pool.resp.origin]\naddress = \"x\"\n[pool.resp.nothing]", "c.toml"},
+		{`keep_ms = 60000`, ``, "pool[1].resp.origin.keep_ms: missing; for how long"},
+		{`keep_ms = 60000`, `keep_ms = 0`, "pool[1].resp.origin.keep_ms: 0 is out of range"},
+		{`address = "127.0.0.1:8080"`, `address = "there"`, `pool[1].resp.origin.address: "there" is no address`},
+		{`meta_listen = ""`, `meta_listen = "127.0.0.1:11211"`, `pool[1].resp.meta_listen: "127.0.0.1:11211" is another's`},
+		{`meta_listen = ""`, `meta_listen = "x"`, `pool[1].resp.meta_listen: "x" is no address`},
+		{"[pool.resp]\n", "origin = \"router\"\n[pool.resp]\n", "[pool.resp.origin] names one with its address"},
 		{"[pool.resp]\n", "[pool.servers]\nfile = \"x\"\n[pool.resp]\n", "pool[1].servers: the servers of a pool that speaks RESP come from its cluster"},
 	} {
 		text := strings.Replace(withRESP(t), c.old, c.new, 1)
@@ -63,6 +70,14 @@
 	}
 }
 
+// Without an origin, what the servers hold is all there is.
+func TestRESPPoolAlone(t *testing.T) {
+	text := regexp.MustCompile(`(?m)^\[pool.resp.origin\][^\n]*\n.*\n.*\n`).ReplaceAllString(withRESP(t), "")
+	if c := parse(t, text).Pools[1].Checked.Config; !c.Alone || c.Aside || c.OriginKind != "" {
+		t.Errorf("%+v", c)
+	}
+}
+
 // The parts of the limits are shared over both kinds of pools, and a changed cluster takes a restart.
 func TestRESPNeedsRestart(t *testing.T) {
 	old := parse(t, withRESP(t))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,6 +46,8 @@
 	addrs   map[string][]uint32 // servers at an address
 	ready   atomic.Bool         // a list is held
 	infers  bool                // nobody tells of starts
+	store   Store               // nil = values are stored by others
+	origin  string              // kind of the origin
 }
 
 // Request is what a front hands over: one request of a client, in nobody's protocol.
@@ -64,6 +66,7 @@
 	Write  bool
 	Owners []uint32 // the servers that may serve it, the first one at home; nil = any
 	Words  [][]byte // the command itself, where the fields above don't say it; never changed
+	Stores bool     // no client's: see Store
 }
 
 // Try is one attempt, as a backend needs to know it.
@@ -89,6 +92,7 @@
 	Result
 	Body    []byte  // Served
 	Content any     // Served: the answer in a backend's own terms, where Body does not say it
+	Absent  bool    // Served: there is no value
 	Wait    float64 // Refused: ms after which to come again; 0 = not told
 }
 
@@ -102,7 +106,8 @@
 type Reply struct {
 	Status  decide.Status
 	Body    []byte // OK: the value or the receipt
-	Note    int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
+	Note    int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out, 4 the origin has no value
+	Absent  bool   // OK: there is no value
 	Load    decide.Load
 	Content any // OK: the answer in the backend's own terms, where Body does not say it
 
@@ -137,6 +142,16 @@
 	Addr string
 }
 
+// Store keeps values that the origin has given, where the router does that by itself. Its methods run on the engine's
+// goroutine and don't block.
+type Store interface {
+	// Arrived tells of each request that is taken, and Over that it has its final answer.
+	Arrived(q *Request)
+	Over(q *Request)
+	// Fetched makes the request that stores a value which the origin has given for q; nil = it is not kept.
+	Fetched(q *Request, value []byte) *Request
+}
+
 // server is a listed server as the engine knows it.
 type server struct {
 	Link
@@ -220,6 +235,7 @@
 	Held   int64 // bound on the bytes of the values of requests in hand
 	Queued int64 // bound on the bytes of answers that no client has taken yet
 	Infers bool  // nobody tells of starts: they are inferred from refused connections
+	Store  Store // nil = values that the origin gives are stored by others
 }
 
 // New is an engine that makes its attempts by a backend. An error names the setting that the module can't take.
@@ -227,7 +243,8 @@
 	s := o.Module
 	e := &Engine{clock: clock{time.Now()}, backend: backend, watch: func() {}, copies: s.Copies,
 		maxTry: s.MaxAttempts, events: make(chan func(), 1024), done: make(chan struct{}), reqs: map[uint32]*request{},
-		targets: map[uint32]*server{}, open: map[string]*request{}, addrs: map[string][]uint32{}, infers: o.Infers}
+		targets: map[uint32]*server{}, open: map[string]*request{}, addrs: map[string][]uint32{}, infers: o.Infers,
+		store: o.Store, origin: s.OriginKind}
 	e.setClasses(s.Classes)
 	e.Held.limit, e.Queued.limit = o.Held, o.Queued
 	var err error
@@ -346,13 +363,16 @@
 	left := max(0, min(q.Wait, c.Deadline)-(now-read))
 	r := &request{Request: q, id: e.lastID, until: now + left, ticket: t}
 	e.reqs[r.id], e.open[q.ID], t.req = r, r, r
+	if e.store != nil {
+		e.store.Arrived(q)
+	}
 	r.due = e.after(left+grace, func() { // should the Balancer owe an answer even then, the client still gets one in time
 		log.Printf("request %s: no answer by its deadline", q.ID)
 		host{e}.Fail(r.id)
 		e.b.Gone(e.now(), r.id)
 	})
 	e.b.Request(now, decide.Request{ID: r.id, Class: q.Class, Tenant: q.Tenant, Key: keyID(q.Key), HasKey: true,
-		Left: left, Hint: q.Hint, Size: q.Size, Retry: q.Retry, Write: q.Write, Owners: q.Owners})
+		Left: left, Hint: q.Hint, Size: q.Size, Retry: q.Retry, Write: q.Write, Owners: q.Owners, Stores: q.Stores})
 }
 
 // Leave tells that the client of a request has left.
@@ -374,6 +394,9 @@
 		return
 	}
 	r.over = true
+	if e.store != nil {
+		e.store.Over(r.Request)
+	}
 	r.ticket.Answer(r.Request, answer)
 	r.ticket.req, r.ticket = nil, nil
 	e.timers.stop(r.due)
@@ -400,7 +423,9 @@
 	r := a.r
 	r.out--
 	if got.Status == decide.OK {
-		e.finish(r, Answer{Result: Served, Body: got.Body, Content: got.Content})
+		keep := e.fetched(a, got)
+		e.finish(r, Answer{Result: Served, Body: got.Body, Content: got.Content, Absent: got.Absent})
+		e.keep(keep)
 	}
 	e.forget(r)
 	now := e.now()
@@ -412,6 +437,23 @@
 		Final: r.over, Note: got.Note, Load: got.Load, Owners: got.Owners})
 }
 
+// fetched makes the request that stores what an attempt at the origin has brought, nil where there is nothing to store.
+func (e *Engine) fetched(a *attempt, got Reply) *Request {
+	if e.store == nil || a.r.over || a.r.Write || got.Absent || a.t == nil || a.t.entry.Kind != e.origin {
+		return nil
+	}
+	return e.store.Fetched(a.r.Request, got.Body)
+}
+
+// keep stores a value. The client that it was fetched for has its answer by now, and the module hears of this request
+// before it hears that the fetch is over: whoever waits for the key finds it stored.
+func (e *Engine) keep(q *Request) {
+	if q == nil || !e.Room(q.Held) {
+		return
+	}
+	e.Arrive(q, e.now(), &Ticket{Answer: func(*Request, Answer) {}})
+}
+
 // infer takes a server that refused connections and answers again for one that has started anew, cold, where nobody tells
 // of starts. A wrong guess only holds its load back for as long as a cold one's.
 func (e *Engine) infer(a *attempt, got Reply) {
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -13,10 +13,13 @@
 )
 
 // Protocol is a front.Protocol.
-type Protocol struct{}
+type Protocol struct {
+	// Owners gives the servers that may serve a key; nil = any may. Servers that own keys drop no repeats.
+	Owners func(key string, write bool) []uint32
+}
 
 // Session is the same for all connections: commands say all that there is to know.
-func (Protocol) Session() front.Session { return session{} }
+func (p Protocol) Session() front.Session { return session{p} }
 
 // Idle is how long a connection may stand between two commands.
 func (Protocol) Idle() time.Duration { return 3 * time.Second }
@@ -24,7 +27,7 @@
 // Drain changes nothing: clients come through a front that sends them elsewhere.
 func (Protocol) Drain() {}
 
-type session struct{}
+type session struct{ p Protocol }
 
 // Malformed is the answer to input that makes no sense.
 func (session) Malformed(err error) ([]byte, bool) {
@@ -35,14 +38,14 @@
 }
 
 // Read reads a command. Its value is read only if the rest makes sense, and kept only if there is room.
-func (session) Read(in *bufio.Reader, e *engine.Engine, ready func() bool) (front.Command, error) {
+func (s session) Read(in *bufio.Reader, e *engine.Engine, ready func() bool) (front.Command, error) {
 	cmd, err := meta.ReadCommand(in)
 	if err != nil {
 		return front.Command{}, err
 	}
 	switch cmd.Verb {
 	case "mg", "ms":
-		return request(in, e, cmd)
+		return s.request(in, e, cmd)
 	case "mn": // the router is used from MN on, so it must be able to serve
 		if ready() {
 			return front.Command{Text: []byte("MN\r\n")}, nil
@@ -55,8 +58,8 @@
 }
 
 // request reads the rest of a request, and checks it against what this deployment takes.
-func request(in *bufio.Reader, e *engine.Engine, cmd meta.Command) (front.Command, error) {
-	if err := check(e, &cmd); err != nil {
+func (s session) request(in *bufio.Reader, e *engine.Engine, cmd meta.Command) (front.Command, error) {
+	if err := s.check(e, &cmd); err != nil {
 		return front.Command{}, err
 	}
 	refuse := !e.Room(cmd.Length)
@@ -72,18 +75,24 @@
 	if refuse { // many large writes at once must not cost the router its life
 		return front.Command{Text: meta.Refused(0)}, nil
 	}
-	return front.Command{Render: render, Request: &engine.Request{ID: cmd.ID, Class: cmd.Class, Tenant: cmd.Tenant, Key: cmd.Key, Facts: cmd.Facts,
+	var owners []uint32
+	if s.p.Owners != nil {
+		owners = s.p.Owners(cmd.Key, cmd.Verb == "ms")
+	}
+	return front.Command{Render: render, Request: &engine.Request{Owners: owners, ID: cmd.ID, Class: cmd.Class, Tenant: cmd.Tenant, Key: cmd.Key, Facts: cmd.Facts,
 		Value: cmd.Value, Held: cmd.Length, Wait: cmd.Wait, Hint: cmd.Hint, Size: cmd.Size, Retry: cmd.Retry, Write: cmd.Verb == "ms"}}, nil
 }
 
 // check tells what is wrong with a command for this deployment.
-func check(e *engine.Engine, cmd *meta.Command) error {
+func (s session) check(e *engine.Engine, cmd *meta.Command) error {
 	c, ok := e.Class(cmd.Class)
 	switch {
 	case !ok:
 		return meta.Malformed("class %.40q", cmd.Class)
 	case c.Effect == decide.Keyed && cmd.Idem == "":
 		return meta.Malformed("class %s takes k", cmd.Class)
+	case c.Effect == decide.Keyed && s.p.Owners != nil:
+		return meta.Malformed("class %s: the servers of this pool drop no repeats", cmd.Class)
 	}
 	return nil
 }
@@ -92,6 +101,12 @@
 func render(q *engine.Request, a engine.Answer) []byte {
 	switch a.Result {
 	case engine.Served:
+		switch {
+		case a.Absent:
+			return meta.Absent(q.ID)
+		case a.Content != nil: // in terms that this protocol has no words for
+			return meta.Failure()
+		}
 		return meta.Served(q.Write, q.ID, a.Body)
 	case engine.Refused:
 		return meta.Refused(a.Wait)
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -223,7 +223,7 @@
 		deadline = min(deadline, f.deadline)
 	}
 	proto := s.proto
-	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: "r" + strconv.FormatUint(s.p.ids.Add(1), 16), Class: class.Name, Tenant: s.tenant,
+	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: "resp " + strconv.FormatUint(s.p.ids.Add(1), 16), Class: class.Name, Tenant: s.tenant,
 		Key: string(keys[0]), Held: size, Wait: deadline, Write: c.write, Owners: s.p.cfg.Owners(slot, c.write), Words: clone(args, size)},
 		Render: func(q *engine.Request, a engine.Answer) []byte { return render(a, proto) }}
 }
@@ -257,6 +257,9 @@
 func render(a engine.Answer, proto int) []byte {
 	switch a.Result {
 	case engine.Served:
+		if a.Absent {
+			return resp.AppendNull(nil, proto)
+		}
 		if r, ok := a.Content.(*resp.Reply); ok {
 			return resp.AppendReply(nil, r, proto)
 		}
--- a/internal/proto/meta/meta.go
+++ b/internal/proto/meta/meta.go
@@ -367,6 +367,9 @@
 	return append(append(b, body...), "\r\n"...)
 }
 
+// Absent is the answer to a read of what nobody has.
+func Absent(id string) []byte { return fmt.Appendf(nil, "EN O%s\r\n", id) }
+
 // Refused says that trying again is harmless, after wait milliseconds where that is 1 or more.
 func Refused(wait float64) []byte {
 	if wait < 1 {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -12,6 +12,7 @@
 
 	"mossproxy.example/mossproxy/internal/backend"
 	servers "mossproxy.example/mossproxy/internal/backend/meta"
+	"mossproxy.example/mossproxy/internal/backend/origin"
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/front"
 	clients "mossproxy.example/mossproxy/internal/front/meta"
@@ -26,7 +27,7 @@
 	t.Helper()
 	cfg := testConfig(t, "127.0.0.1:1", member.List{})
 	cfg.Limits.MemoryMB = memoryMB
-	e, err := newEngine(cfg, &links{backend.NewPool(10*time.Second, time.Second, 100), servers.Protocol{}, "origin"})
+	e, err := newEngine(Setup{Config: cfg}, &links{backend.NewPool(10*time.Second, time.Second, 100), servers.Protocol{}, "origin", origin.Protocol{}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -56,7 +56,7 @@
 // An answer of the old discovery that is on its way when the new one is named is not heard.
 func TestLateAnswerOfTheOldDiscoveryIsPassedOver(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", member.List{})
-	e, err := newEngine(cfg, newLinks(Setup{Config: cfg}, 10))
+	e, err := newEngine(Setup{Config: cfg}, newLinks(Setup{Config: cfg}, 10))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"log"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,11 +15,13 @@
 	servers "mossproxy.example/mossproxy/internal/backend/resp"
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/fill"
 	"mossproxy.example/mossproxy/internal/front"
 	clients "mossproxy.example/mossproxy/internal/front/meta"
 	"mossproxy.example/mossproxy/internal/front/resp"
 	"mossproxy.example/mossproxy/internal/member"
 	protocol "mossproxy.example/mossproxy/internal/proto/meta"
+	"mossproxy.example/mossproxy/internal/slots"
 )
 
 // Setup is what a router works by.
@@ -26,6 +29,7 @@
 	*config.Config
 	Servers *member.FileSource // the server file, opened; nil = discovery tells of servers
 	cluster *servers.Cluster   // of a pool that speaks RESP
+	Meta    net.Listener       // of such a pool: for clients that speak the meta commands; nil = none come
 }
 
 // Open opens the server file that a configuration names. Without one, discovery tells of servers.
@@ -54,7 +58,10 @@
 	// Each attempt may hold a value of full length: all together a quarter of the memory.
 	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/protocol.MaxValue))
 	links := newLinks(cfg, attempts)
-	e, err := newEngine(cfg.Config, links)
+	if cfg.Meta != nil {
+		defer cfg.Meta.Close()
+	}
+	e, err := newEngine(cfg, links)
 	if err != nil {
 		return err
 	}
@@ -64,41 +71,85 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	r := &router{Engine: e}
+	r := &router{Engine: e, extra: cfg.extraClasses()}
 	wg.Go(func() { e.Run(work) })
 	wg.Go(func() { links.pool.Sweep(work) })
 	if cfg.Servers == nil && cfg.cluster == nil {
 		r.Post(func() { r.list(decide.Remembered, cfg.Known) })
 	}
 	wg.Go(func() { r.discover(work, cfg, updates) })
-	s := front.New(e, cfg.clients(ln.Addr().String()), ln, sockets*11/20)
-	s.Start()
+	fronts := cfg.fronts(e, ln, sockets*11/20)
+	for _, f := range fronts {
+		f.Start()
+	}
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
 
 	<-ctx.Done()
-	s.HandOn()
+	for _, f := range fronts {
+		f.HandOn()
+	}
 	time.Sleep(cfg.Grace)
 	ln.Close()
+	if cfg.Meta != nil {
+		cfg.Meta.Close()
+	}
 	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
 	for _, k := range cfg.Checked.Config.Classes {
 		longest = max(longest, k.Deadline)
 	}
 	end, cancel := context.WithTimeout(context.Background(), ms(longest))
 	defer cancel()
-	s.Drain(end)
+	var drained sync.WaitGroup
+	for _, f := range fronts {
+		drained.Go(func() { f.Drain(end) })
+	}
+	drained.Wait()
 	return nil
 }
 
+// fronts are the ways in for clients, which share the places that there are.
+func (s Setup) fronts(e *engine.Engine, ln net.Listener, places int) []*front.Clients {
+	if s.Meta == nil {
+		return []*front.Clients{front.New(e, s.clients(ln.Addr().String()), ln, places)}
+	}
+	owners := func(key string, write bool) []uint32 { return s.cluster.Owners(slots.Of([]byte(key)), write) }
+	log.Printf("%s: meta commands at %s", s.Name, s.Meta.Addr())
+	return []*front.Clients{front.New(e, s.clients(ln.Addr().String()), ln, places/2),
+		front.New(e, clients.Protocol{Owners: owners}, s.Meta, places-places/2)}
+}
+
+// extraClasses are the classes of the router's own requests.
+func (s Setup) extraClasses() []decide.Class {
+	if s.RESP == nil || s.RESP.Origin == "" {
+		return nil
+	}
+	return []decide.Class{fill.Class()}
+}
+
+// store keeps what the origin of a pool that speaks RESP gives; nil where there is none.
+func (s Setup) store() engine.Store {
+	if s.RESP == nil || s.RESP.Origin == "" {
+		return nil
+	}
+	return fill.New(fill.Config{
+		Owners:  func(key string) []uint32 { return s.cluster.Owners(slots.Of([]byte(key)), true) },
+		Command: func(key string, value []byte) [][]byte { return servers.StoreCommand(key, value, s.RESP.KeepMS) },
+	})
+}
+
 // router is an engine with the source of its servers.
 type router struct {
 	*engine.Engine
-	source *source // the one that is heard; the engine's goroutine's
+	source *source        // the one that is heard; the engine's goroutine's
+	extra  []decide.Class // of its own requests
 }
 
 // newEngine is the engine of a configuration.
-func newEngine(cfg *config.Config, b engine.Backend) (*engine.Engine, error) {
+func newEngine(cfg Setup, b engine.Backend) (*engine.Engine, error) {
+	m := cfg.Checked.Config
+	m.Classes = append(slices.Clip(m.Classes), cfg.extraClasses()...)
 	// A value is in memory up to three times, as it came and as it goes out.
-	return engine.New(engine.Options{Module: cfg.Checked.Config, Seed: cfg.SeedNumber, Held: cfg.Limits.MemoryMB << 20 / 16,
+	return engine.New(engine.Options{Module: m, Store: cfg.store(), Seed: cfg.SeedNumber, Held: cfg.Limits.MemoryMB << 20 / 16,
 		Queued: cfg.Limits.MemoryMB << 20 / 8, Infers: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
 
@@ -114,7 +165,7 @@
 func newCluster(cfg *config.Config) *servers.Cluster {
 	log := func(format string, args ...any) { log.Printf(cfg.Name+": "+format, args...) }
 	return servers.NewCluster(servers.Config{Seeds: cfg.RESP.Seeds, Site: cfg.Checked.Config.Zone, Now: unixMS(), Log: log,
-		Protocol: servers.Protocol{User: cfg.RESP.User, Password: cfg.RESP.Password, Replicas: cfg.RESP.Replicas}})
+		Protocol: servers.Protocol{User: cfg.RESP.User, Password: cfg.RESP.Password, Replicas: cfg.RESP.Replicas, Origin: cfg.RESP.Origin != ""}})
 }
 
 // clients is what the clients of a pool speak, that come to an address.
@@ -137,12 +188,14 @@
 type links struct {
 	pool   *backend.Pool
 	cache  backend.Protocol
-	origin string // the kind of the origin
+	origin string // the kind of the origin,
+	behind origin.Protocol
 }
 
 func newLinks(cfg Setup, limit int) *links {
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-	l := &links{backend.NewPool(ms(cfg.Checked.Config.ConnIdle), ms(cfg.Checked.ConnectTimeout), limit), meta.Protocol{}, cfg.Checked.Config.OriginKind}
+	l := &links{backend.NewPool(ms(cfg.Checked.Config.ConnIdle), ms(cfg.Checked.ConnectTimeout), limit), meta.Protocol{}, cfg.Checked.Config.OriginKind,
+		origin.Protocol{Absent: cfg.cluster != nil}}
 	if cfg.cluster != nil {
 		l.cache = cfg.cluster.Protocol()
 	}
@@ -152,7 +205,7 @@
 // Link is the way to a server, in the protocol that it speaks.
 func (l *links) Link(s engine.Server) engine.Link {
 	if l.origin != "" && s.Kind == l.origin {
-		return l.pool.Link(s.Addr, origin.Protocol{})
+		return l.pool.Link(s.Addr, l.behind)
 	}
 	return l.pool.Link(s.Addr, l.cache)
 }
@@ -212,7 +265,7 @@
 	}
 	c := next.Checked.Config
 	r.Post(func() {
-		if err := r.Configure(c.Classes, c.Tenants, c.OverWorth); err != nil {
+		if err := r.Configure(append(slices.Clip(c.Classes), r.extra...), c.Tenants, c.OverWorth); err != nil {
 			log.Printf("%s: classes and tenants stay: %v", next.Name, err)
 		}
 	})
@@ -226,6 +279,15 @@
 	tell  func(member.List)
 }
 
+// withOrigin adds the origin behind a cluster to its list.
+func (s Setup) withOrigin(l member.List) member.List {
+	if at := s.RESP.Origin; at != "" {
+		l.Servers = append(l.Servers, member.Entry{ID: config.OriginKind + " " + at, Addr: at, Zone: s.Checked.Config.Zone, Kind: config.OriginKind,
+			State: "active", Weight: 1})
+	}
+	return l
+}
+
 // newSource is the source of a setup.
 func (r *router) newSource(cfg Setup) *source {
 	s := &source{}
@@ -245,7 +307,7 @@
 	}
 	if cfg.cluster != nil {
 		s.watch = cfg.cluster.Doubt
-		s.run = func(ctx context.Context) { cfg.cluster.Run(ctx, s.tell) }
+		s.run = func(ctx context.Context) { cfg.cluster.Run(ctx, func(l member.List) { s.tell(cfg.withOrigin(l)) }) }
 		return s
 	}
 	if cfg.Servers != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -43,20 +43,35 @@
 	s := &Service{path: path, file: file}
 	seed(file)
 	for _, p := range file.Pools {
-		setup, err := router.Open(p)
-		var ln net.Listener
-		if err == nil {
-			ln, err = net.Listen("tcp", p.Listen)
-		}
+		q, err := open(p)
 		if err != nil {
 			s.close()
 			return nil, fmt.Errorf("pool %s: %w", p.Name, err)
 		}
-		s.pools = append(s.pools, &pool{setup: setup, ln: ln, updates: make(chan router.Setup)})
+		s.pools = append(s.pools, q)
 	}
 	return s, nil
 }
 
+// open opens what a pool works by, and listens. An error leaves nothing open.
+func open(cfg *config.Config) (*pool, error) {
+	setup, err := router.Open(cfg)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.RESP != nil && cfg.RESP.Meta != "" {
+		if setup.Meta, err = net.Listen("tcp", cfg.RESP.Meta); err != nil {
+			ln.Close()
+			return nil, err
+		}
+	}
+	return &pool{setup: setup, ln: ln, updates: make(chan router.Setup)}, nil
+}
+
 // seed draws the seed that a configuration leaves out.
 func seed(f *config.File) {
 	for _, p := range f.Pools {
@@ -69,6 +84,9 @@
 func (s *Service) close() {
 	for _, p := range s.pools {
 		p.ln.Close()
+		if p.setup.Meta != nil {
+			p.setup.Meta.Close()
+		}
 	}
 }
 
