Give the slots of routers that drain or fall silent to the next one, in every map

Reason: a router that had drained or died kept its slots in the map that its peers show, so cluster clients went on being sent to it: they were only served while it still answered.

Change: internal/tier (pure) settles who serves which part: each router its own, those of routers that drain, load or miss three answers in a row go to the next that serves, and back. Routers ask each other YOKE STATE every 150 ms over one kept connection; it needs no login and tells nothing else. CLUSTER SLOTS, SHARDS, NODES and INFO follow it. The router that drains hands on by ASK to one that serves, no longer to its neighbour whatever that does. The epoch of the cluster behind is asked four times a second, and a whole map where it differs, something doubts the one in use, or a second has passed.

Tests: scripted peers that drain, load, hang, close, speak nonsense and come back; two routers of which one drains, seen by the other's map.

--- a/internal/front/resp/local.go
+++ b/internal/front/resp/local.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"mossproxy.example/mossproxy/internal/proto/resp"
 	"mossproxy.example/mossproxy/internal/slots"
+	"mossproxy.example/mossproxy/internal/tier"
 )
 
 // The commands that the router answers itself.
@@ -211,23 +213,34 @@
 // nodeID is the name of a router, the same at all of them.
 func nodeID(addr string) string { return fmt.Sprintf("%x", sha1.Sum([]byte(addr))) }
 
-// part is one router of the tier with its run of slots.
+// part is one router of the tier with the runs of slots that it serves now.
 type part struct {
+	n          int
 	addr, host string
 	port       int64
-	from, to   int
+	runs       [][2]int
 }
 
+// parts are the routers of the tier, by number.
 func (p *Protocol) parts() (out []part) {
-	n := len(p.cfg.Peers)
+	n, serves := len(p.cfg.Peers), *p.peers.serves.Load()
 	for i, addr := range p.cfg.Peers {
 		host, port, _ := net.SplitHostPort(addr)
 		num, _ := strconv.ParseInt(port, 10, 64)
-		out = append(out, part{addr, host, num, (i*slots.Count + n - 1) / n, ((i+1)*slots.Count+n-1)/n - 1})
+		m := part{n: i, addr: addr, host: host, port: num}
+		for _, home := range tier.Parts(serves, i) {
+			m.runs = append(m.runs, [2]int{(home*slots.Count + n - 1) / n, ((home+1)*slots.Count+n-1)/n - 1})
+		}
+		out = append(out, m)
 	}
 	return out
 }
 
+// serving are the routers that serve any slots.
+func (p *Protocol) serving() []part {
+	return slices.DeleteFunc(p.parts(), func(n part) bool { return len(n.runs) == 0 })
+}
+
 // cluster is CLUSTER: the routers as a cluster.
 func cluster(s *session, args [][]byte) []byte {
 	p := s.p
@@ -239,9 +252,10 @@
 	case sub == "NODES":
 		return resp.AppendBulk(nil, p.clusterNodes())
 	case sub == "INFO":
+		epoch := 1 + p.peers.version()
 		return resp.AppendBulk(nil, fmt.Appendf(nil, "cluster_enabled:1\r\ncluster_state:ok\r\ncluster_slots_assigned:%d\r\ncluster_slots_ok:%d\r\n"+
-			"cluster_slots_pfail:0\r\ncluster_slots_fail:0\r\ncluster_known_nodes:%d\r\ncluster_size:%d\r\ncluster_current_epoch:1\r\ncluster_my_epoch:1\r\n",
-			slots.Count, slots.Count, len(p.cfg.Peers), len(p.cfg.Peers)))
+			"cluster_slots_pfail:0\r\ncluster_slots_fail:0\r\ncluster_known_nodes:%d\r\ncluster_size:%d\r\ncluster_current_epoch:%d\r\ncluster_my_epoch:%d\r\n",
+			slots.Count, slots.Count, len(p.cfg.Peers), len(p.serving()), epoch, epoch))
 	case sub == "MYID":
 		return resp.AppendBulk(nil, []byte(nodeID(p.cfg.Peers[p.cfg.Me])))
 	case sub == "KEYSLOT" && len(args) == 3:
@@ -251,9 +265,19 @@
 }
 
 func (p *Protocol) clusterSlots() []byte {
-	parts := p.parts()
-	b := resp.AppendArray(nil, len(parts))
-	for _, n := range parts {
+	type run struct {
+		part
+		from, to int
+	}
+	var runs []run
+	for _, n := range p.parts() {
+		for _, r := range n.runs {
+			runs = append(runs, run{n, r[0], r[1]})
+		}
+	}
+	slices.SortFunc(runs, func(a, b run) int { return a.from - b.from })
+	b := resp.AppendArray(nil, len(runs))
+	for _, n := range runs {
 		b = resp.AppendInt(resp.AppendInt(resp.AppendArray(b, 3), int64(n.from)), int64(n.to))
 		b = resp.AppendBulk(resp.AppendInt(resp.AppendBulk(resp.AppendArray(b, 3), []byte(n.host)), n.port), []byte(nodeID(n.addr)))
 	}
@@ -261,13 +285,16 @@
 }
 
 func (p *Protocol) clusterShards(proto int) []byte {
-	parts := p.parts()
+	parts := p.serving()
 	b := resp.AppendArray(nil, len(parts))
 	str := func(t string) { b = resp.AppendBulk(b, []byte(t)) }
 	for _, n := range parts {
 		b = resp.AppendMap(b, 2, proto)
 		str("slots")
-		b = resp.AppendInt(resp.AppendInt(resp.AppendArray(b, 2), int64(n.from)), int64(n.to))
+		b = resp.AppendArray(b, 2*len(n.runs))
+		for _, r := range n.runs {
+			b = resp.AppendInt(resp.AppendInt(b, int64(r[0])), int64(r[1]))
+		}
 		str("nodes")
 		b = resp.AppendMap(resp.AppendArray(b, 1), 7, proto)
 		for _, kv := range [][2]string{{"id", nodeID(n.addr)}, {"ip", n.host}, {"endpoint", n.host}, {"role", "master"}, {"health", "online"}} {
@@ -282,14 +309,20 @@
 	return b
 }
 
+// clusterNodes names all routers: one that serves nothing just now has no slots, and may be back soon.
 func (p *Protocol) clusterNodes() []byte {
 	var b []byte
-	for i, n := range p.parts() {
+	epoch := 1 + p.peers.version()
+	for _, n := range p.parts() {
 		flags := "master"
-		if i == p.cfg.Me {
+		if n.n == p.cfg.Me {
 			flags = "myself,master"
 		}
-		b = fmt.Appendf(b, "%s %s@%d %s - 0 0 1 connected %d-%d\n", nodeID(n.addr), n.addr, n.port+10000, flags, n.from, n.to)
+		b = fmt.Appendf(b, "%s %s@%d %s - 0 0 %d connected", nodeID(n.addr), n.addr, n.port+10000, flags, epoch)
+		for _, r := range n.runs {
+			b = fmt.Appendf(b, " %d-%d", r[0], r[1])
+		}
+		b = append(b, '\n')
 	}
 	return b
 }
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -49,12 +49,10 @@
 type Protocol struct {
 	cfg      Config
 	ids      atomic.Uint64 // of requests and connections
-	draining atomic.Bool   // slots are handed on to the next peer
+	draining atomic.Bool   // slots are handed on
+	peers    peers
 }
 
-// Drain hands this router's slots on to the next peer from now on.
-func (p *Protocol) Drain() { p.draining.Store(true) }
-
 // idle is how long a connection may stand between two commands: clients keep pools of them for long.
 const idle = 5 * time.Minute
 
@@ -66,7 +64,9 @@
 	if len(cfg.Peers) == 0 {
 		cfg.Peers, cfg.Me = []string{addr}, 0
 	}
-	return &Protocol{cfg: cfg}
+	p := &Protocol{cfg: cfg}
+	p.peers.init(len(cfg.Peers), cfg.Me)
+	return p
 }
 
 // Session is a client's connection.
@@ -107,6 +107,9 @@
 	asking := s.asking
 	s.asking = false
 	if name == "YOKE" {
+		if isState(args) {
+			return text(s.state(e)), nil
+		}
 		return s.yoke(e, args, asking)
 	}
 	return s.run(e, name, args, asking, facts{})
@@ -273,19 +276,6 @@
 // home is the number of the router that owns a slot: equal runs, in the order of the peers.
 func (p *Protocol) home(slot int) int { return slot * len(p.cfg.Peers) / slots.Count }
 
-// elsewhere is the error that sends a client to the router that serves a slot, "" where it is this one. A router that
-// drains hands its slots on by ASK: the next one serves them by leave, and its map names this one until it has gone.
-func (p *Protocol) elsewhere(slot int, asking bool) string {
-	home := p.home(slot)
-	switch {
-	case home == p.cfg.Me && p.draining.Load() && len(p.cfg.Peers) > 1:
-		return fmt.Sprintf("ASK %d %s", slot, p.cfg.Peers[(p.cfg.Me+1)%len(p.cfg.Peers)])
-	case home == p.cfg.Me || asking:
-		return ""
-	}
-	return fmt.Sprintf("MOVED %d %s", slot, p.cfg.Peers[home])
-}
-
 // login checks a password in constant time, whatever user is named.
 func (p *Protocol) login(user, password []byte) (tenant string, ok bool) {
 	sum := sha256.Sum256(password)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,10 +78,14 @@
 		r.Post(func() { r.list(decide.Remembered, cfg.Known) })
 	}
 	wg.Go(func() { r.discover(work, cfg, updates) })
-	fronts := cfg.fronts(e, ln, sockets*11/20)
+	proto := cfg.clients(ln.Addr().String())
+	fronts := cfg.fronts(e, proto, ln, sockets*11/20)
 	for _, f := range fronts {
 		f.Start()
 	}
+	if p, ok := proto.(*resp.Protocol); ok {
+		wg.Go(func() { p.Follow(work, func(format string, args ...any) { log.Printf(cfg.Name+": "+format, args...) }) })
+	}
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
 
 	<-ctx.Done()
@@ -108,13 +112,13 @@
 }
 
 // fronts are the ways in for clients, which share the places that there are.
-func (s Setup) fronts(e *engine.Engine, ln net.Listener, places int) []*front.Clients {
+func (s Setup) fronts(e *engine.Engine, proto front.Protocol, ln net.Listener, places int) []*front.Clients {
 	if s.Meta == nil {
-		return []*front.Clients{front.New(e, s.clients(ln.Addr().String()), ln, places)}
+		return []*front.Clients{front.New(e, proto, ln, places)}
 	}
 	owners := func(key string, write bool) []uint32 { return s.cluster.Owners(slots.Of([]byte(key)), write) }
 	log.Printf("%s: meta commands at %s", s.Name, s.Meta.Addr())
-	return []*front.Clients{front.New(e, s.clients(ln.Addr().String()), ln, places/2),
+	return []*front.Clients{front.New(e, proto, ln, places/2),
 		front.New(e, clients.Protocol{Owners: owners}, s.Meta, places-places/2)}
 }
 
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -58,6 +58,7 @@
 	orders    []string // errors that the next commands get
 	late      time.Duration
 	runs      int
+	touched   float64 // when a command on keys came last, run or not
 }
 
 // StartCluster starts a cluster whose primaries own equal runs of slots.
@@ -307,6 +308,34 @@
 	return n.mode
 }
 
+// Touched is when a command on keys came last, run or not, as Unix time in ms.
+func (n *Node) Touched() float64 {
+	n.c.mu.Lock()
+	defer n.c.mu.Unlock()
+	return n.touched
+}
+
+// Empty drains a primary: all its slots and keys go to others at once, in one epoch that all hear of. It stays, and sends
+// on whoever still comes. It gives the time.
+func (c *Cluster) Empty(n *Node, to ...*Node) (at float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tell(func(view *[slots.Count]*Node) {
+		for s, o := range view {
+			if o == n {
+				view[s] = to[s%len(to)]
+			}
+		}
+	}, nil)
+	view := c.newest().view
+	for k, v := range n.data {
+		view[slots.Of([]byte(k))].data[k] = v
+		delete(n.data, k)
+	}
+	clear(n.migrating)
+	return c.now()
+}
+
 // Runs is how many commands the node has run.
 func (n *Node) Runs() int {
 	n.c.mu.Lock()
@@ -413,6 +442,7 @@
 	case "COMMAND":
 		return resp.AppendArray(nil, 0), Serves, 0
 	}
+	n.touched = c.now()
 	if n.mode == Hangs || n.mode == Drops || n.mode == Dead {
 		return nil, n.mode, 0
 	}
