--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -119,12 +119,16 @@
 type facts struct {
 	class    string
 	deadline float64
+	key      string // no two commands of a tenant with the same are open at once
 }
 
-// yoke reads YOKE class=NAME,d=MS COMMAND ...: the class and the deadline of that one command.
+// maxKey bounds an idempotency key.
+const maxKey = 64
+
+// yoke reads YOKE class=NAME,d=MS,k=KEY COMMAND ...: the class, the deadline and the key of that one command.
 func (s *session) yoke(e *engine.Engine, args [][]byte, asking bool) (front.Command, error) {
 	if len(args) < 3 {
-		return text(resp.AppendError(nil, "ERR wrong number of arguments for 'yoke' command: YOKE class=NAME,d=MS COMMAND ...")), nil
+		return text(resp.AppendError(nil, "ERR wrong number of arguments for 'yoke' command: YOKE class=NAME,d=MS,k=KEY COMMAND ...")), nil
 	}
 	var f facts
 	for part := range strings.SplitSeq(string(args[1]), ",") {
@@ -134,8 +138,10 @@
 			f.class = v
 		case k == "d" && err == nil && n >= 1 && n < 1e9:
 			f.deadline = n
+		case k == "k" && v != "" && len(v) <= maxKey && !strings.ContainsFunc(v, func(r rune) bool { return r <= ' ' || r > '~' }):
+			f.key = v
 		default:
-			return text(resp.AppendError(nil, fmt.Sprintf("ERR yoke: %.40q; class=NAME and d=MS are taken", part))), nil
+			return text(resp.AppendError(nil, fmt.Sprintf("ERR yoke: %.40q; class=NAME, d=MS and k=KEY are taken", part))), nil
 		}
 	}
 	rest := args[2:]
@@ -225,8 +231,12 @@
 	if f.deadline > 0 {
 		deadline = min(deadline, f.deadline)
 	}
+	id := "resp " + strconv.FormatUint(s.p.ids.Add(1), 16)
+	if f.key != "" {
+		id = "resp k " + s.tenant + " " + f.key
+	}
 	proto := s.proto
-	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: "resp " + strconv.FormatUint(s.p.ids.Add(1), 16), Class: class.Name, Tenant: s.tenant,
+	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: id, Class: class.Name, Tenant: s.tenant,
 		Key: string(keys[0]), Held: size, Wait: deadline, Write: c.write, Owners: s.p.cfg.Owners(slot, c.write), Words: clone(args, size)},
 		Render: func(q *engine.Request, a engine.Answer) []byte { return render(a, proto) }}
 }
@@ -269,6 +279,8 @@
 		return resp.AppendBulk(nil, a.Body)
 	case engine.Refused:
 		return refused(a.Wait)
+	case engine.Doubled:
+		return resp.AppendError(nil, "ERR doubled: a command with this key is open, and this one has not run")
 	}
 	return failure()
 }
--- a/internal/router/resp_real_test.go
+++ b/internal/router/resp_real_test.go
@@ -18,7 +18,7 @@
 )
 
 // realCluster starts six servers of a real cluster, three primaries with a replica each. It installs nothing.
-func realCluster(t *testing.T) (seed string) {
+func realCluster(t testing.TB) (seed string) {
 	t.Helper()
 	server, err := exec.LookPath("redis-server")
 	if err != nil {
@@ -65,7 +65,7 @@
 }
 
 // freePort is an address that nobody listens at just now.
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/router/resp_test.go
+++ b/internal/router/resp_test.go
@@ -136,7 +136,7 @@
 		{"BLPOP x 0", "-ERR BLPOP: blocking commands are not taken: each request has a deadline"},
 		{"NOSUCH", "-ERR unknown command 'NOSUCH'"}, {"CLUSTER KEYSLOT foo", ":12182"}, {"CLIENT SETNAME me", "+OK"}, {"CLIENT GETNAME", "me"},
 		{"YOKE class=read,d=500 GET a", "1"}, {"YOKE class=read INCR a", "-ERR class read may run twice, and INCR must not: name another class for it"},
-		{"YOKE class=none GET a", "-ERR unknown class \"none\""}, {"YOKE k=7 GET a", "-ERR yoke: \"k=7\"; class=NAME and d=MS are taken"},
+		{"YOKE class=none GET a", "-ERR unknown class \"none\""}, {"YOKE k=7 GET a", "1"}, {"YOKE k= GET a", "-ERR yoke: \"k=\"; class=NAME, d=MS and k=KEY are taken"},
 		{"COMMAND COUNT", ""}, {"HELLO 4", "-NOPROTO unsupported protocol version"}, {"QUIT", "+OK"}, {"", "EOF"},
 	} {
 		if got := p.ask(s[0]); got != s[1] && s[1] != "" {
@@ -208,6 +208,34 @@
 	}
 }
 
+// A client that lost its connection sends its poll again under the same key, while the first is open: it is not taken, and
+// the first has its one run. Once that is answered the key is free.
+func TestKeyOfAnOpenCommand(t *testing.T) {
+	c := startCluster(t, 1, 0)
+	r := serveRESP(t, c, "")
+	n := c.Nodes()[0]
+	n.Late(300 * time.Millisecond)
+	first, second := dialRESP(t, r.addr), dialRESP(t, r.addr)
+	first.send("YOKE k=o-17 INCR polls\r\n")
+	until(t, "the first runs", func() bool { return c.Record().Times("INCR", "polls") == 1 })
+	if got := second.ask("YOKE k=o-17 INCR polls"); got != "-ERR doubled: a command with this key is open, and this one has not run" {
+		t.Errorf("again: %q", got)
+	}
+	if got := first.answer(); got != ":1" {
+		t.Errorf("the first: %q", got)
+	}
+	if n := c.Record().Times("INCR", "polls"); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+	n.Late(0)
+	if got := second.ask("YOKE k=o-18 INCR polls"); got != ":2" {
+		t.Errorf("another key: %q", got)
+	}
+	if got := second.ask("YOKE k=o-17 INCR polls"); got != ":3" {
+		t.Errorf("the key once it is free: %q", got)
+	}
+}
+
 // Each error that a server may give: what the client gets, and how often the command ran.
 func TestRESPErrorTable(t *testing.T) {
 	c := startCluster(t, 2, 0)
