--- a/cmd/cottonyoke/commands.go
+++ b/cmd/cottonyoke/commands.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -54,7 +55,8 @@
 }
 
 type serveCmd struct {
-	Config string `short:"c" required:"" placeholder:"FILE" help:"The configuration, in TOML; deploy/cottonyoke.toml has every key."`
+	Profile string `placeholder:"FILE" help:"Write a CPU profile there, from the start to the end."`
+	Config  string `short:"c" required:"" placeholder:"FILE" help:"The configuration, in TOML; deploy/cottonyoke.toml has every key."`
 }
 
 // Help is the page behind serve --help.
@@ -82,6 +84,17 @@
 	limit(s.File().Cores, memory)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if c.Profile != "" {
+		f, err := os.Create(c.Profile)
+		if err != nil {
+			return fmt.Errorf("--profile: %w", err)
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return fmt.Errorf("--profile: %w", err)
+		}
+		defer pprof.StopCPUProfile()
+	}
 	return s.Run(ctx, hup)
 }
 
@@ -186,7 +199,7 @@
 }
 
 type loadCmd struct {
-	Targets  []string      `arg:"" name:"target" help:"One or two: [NAME=]HOST:PORT[,cluster][,pid=N]..., on loopback."`
+	Targets  []string      `arg:"" name:"target" help:"One or two: [NAME=]HOST:PORT[,cluster][,classic][,pid=N]..., on loopback."`
 	Protocol string        `default:"meta" enum:"meta,resp" help:"What is spoken: meta or resp."`
 	Conns    int           `default:"32" help:"Connections; to a cluster so many to each node (1 to 4096)."`
 	Depth    int           `default:"1" help:"Requests of a connection sent together (1 to 256)."`
--- a/internal/load/dialect.go
+++ b/internal/load/dialect.go
@@ -21,10 +21,13 @@
 	answer(r *bufio.Reader, c *Counts) error
 }
 
-func dialectOf(o *Options) dialect {
+func dialectOf(o *Options, t Target) dialect {
 	value := bytes.Repeat([]byte("v"), o.Bytes)
-	if o.Protocol == "resp" {
+	switch {
+	case o.Protocol == "resp":
 		return respDialect{value}
+	case t.Classic:
+		return classicDialect{value}
 	}
 	ms := o.Deadline.Milliseconds()
 	return metaDialect{value, fmt.Sprintf(" Pc=%s,t=%s,d=%d\r\n", o.Class, o.Tenant, ms), fmt.Sprintf(" Pc=%s,t=%s,d=%d\r\n", o.Poll, o.Tenant, ms)}
@@ -88,6 +91,44 @@
 	return nil
 }
 
+// classicDialect is memcache's before the meta commands.
+type classicDialect struct{ value []byte }
+
+func (d classicDialect) request(b []byte, _ uint64, key int, write bool) []byte {
+	if write {
+		b = append(keyName(append(b, "set "...), key), " 0 0 "...)
+		b = append(strconv.AppendInt(b, int64(len(d.value)), 10), "\r\n"...)
+		return append(append(b, d.value...), "\r\n"...)
+	}
+	return append(keyName(append(b, "get "...), key), "\r\n"...)
+}
+
+func (classicDialect) answer(r *bufio.Reader, c *Counts) error {
+	l, err := r.ReadSlice('\n')
+	if err != nil {
+		return err
+	}
+	switch l = bytes.TrimRight(l, "\r\n"); {
+	case bytes.HasPrefix(l, []byte("VALUE ")):
+		n, err := strconv.Atoi(string(l[bytes.LastIndexByte(l, ' ')+1:]))
+		if err != nil || n < 0 || n > maxBytes {
+			return fmt.Errorf("%w: %.40q", errAnswer, l)
+		}
+		if _, err := r.Discard(n + len("\r\nEND\r\n")); err != nil {
+			return err
+		}
+		c.Served++
+	case bytes.Equal(l, []byte("STORED")):
+		c.Served++
+	case bytes.Equal(l, []byte("END")):
+		c.Served++
+		c.Absent++
+	default:
+		c.Odd++
+	}
+	return nil
+}
+
 type respDialect struct{ value []byte }
 
 func (d respDialect) request(b []byte, _ uint64, key int, write bool) []byte {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -22,6 +22,7 @@
 	Addr    string // on loopback
 	PIDs    []int  // processes whose CPU time is counted; none = not counted
 	Cluster bool   // RESP: the load asks it for its slots and goes to the owner of each key
+	Classic bool   // meta: it knows get and set alone
 }
 
 // Options say what is sent. Zero values take the defaults of Check.
@@ -119,10 +120,12 @@
 		switch {
 		case p == "cluster":
 			t.Cluster = true
+		case p == "classic":
+			t.Classic = true
 		case isPID && err == nil && pid > 0:
 			t.PIDs = append(t.PIDs, pid)
 		default:
-			return t, fmt.Errorf("load: target %q: %q; cluster and pid=N are right", text, p)
+			return t, fmt.Errorf("load: target %q: %q; cluster, classic and pid=N are right", text, p)
 		}
 	}
 	return t, nil
@@ -256,7 +259,7 @@
 
 // measure makes one measurement of a target: connections come up, the load warms up, and then counts.
 func measure(ctx context.Context, o *Options, t Target, seed uint64, s *sum) error {
-	d := dialectOf(o)
+	d := dialectOf(o, t)
 	route, err := routeOf(ctx, t)
 	if err != nil {
 		return err
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -77,6 +77,27 @@
 	}
 }
 
+// What knows get and set alone.
+func TestClassic(t *testing.T) {
+	for answer, want := range map[string]Counts{"VALUE k 0 5\r\nhello\r\nEND\r\n": {Served: 1}, "END\r\n": {Served: 1, Absent: 1}, "STORED\r\n": {Served: 1}, "ERROR\r\n": {Odd: 1}} {
+		r, got := bufio.NewReader(strings.NewReader(answer)), Counts{}
+		if err := (classicDialect{}).answer(r, &got); err != nil || got != want || r.Buffered() > 0 {
+			t.Errorf("%q: %+v, %v", answer, got, err)
+		}
+	}
+	s := standintest.Script(t, func(line string) string {
+		if line != "get 0000000000000000" {
+			t.Errorf("%q", line)
+		}
+		return "END\r\n"
+	})
+	o := small(s.Addr)
+	o.Targets[0].Classic, o.Keys = true, 1
+	if r := run(t, o).Targets[0]; r.Absent == 0 || r.Odd > 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
 // Two targets are compared in turns, and the rate that is asked for is kept.
 func TestTwoTargets(t *testing.T) {
 	quick := standintest.Script(t, standintest.Hit)
@@ -161,8 +182,9 @@
 			t.Errorf("%s: taken", name)
 		}
 	}
-	for text, want := range map[string]string{"127.0.0.1:1": "{127.0.0.1:1 127.0.0.1:1 [] false}", "a=127.0.0.1:1,cluster,pid=7,pid=8": "{a 127.0.0.1:1 [7 8] true}",
-		"a=x,pid=0": "error", "a=x,what": "error", "a=x,pid=": "error"} {
+	for text, want := range map[string]string{"127.0.0.1:1": "{127.0.0.1:1 127.0.0.1:1 [] false false}", "a=127.0.0.1:1,cluster,pid=7,pid=8": "{a 127.0.0.1:1 [7 8] true false}",
+		"127.0.0.1:1,classic": "{127.0.0.1:1 127.0.0.1:1 [] false true}",
+		"a=x,pid=0":           "error", "a=x,what": "error", "a=x,pid=": "error"} {
 		got, err := ParseTarget(text)
 		if s := fmt.Sprint(got); err != nil && want != "error" || err == nil && s != want {
 			t.Errorf("%s: %s, %v", text, s, err)
@@ -182,7 +204,7 @@
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte("VA 5 O1\r\nhello\r\nEN\r\n$-1\r\n$3\r\nabc\r\n-TRYAGAIN x\r\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		for _, d := range []dialect{metaDialect{}, respDialect{}} {
+		for _, d := range []dialect{metaDialect{}, respDialect{}, classicDialect{}} {
 			r := bufio.NewReaderSize(strings.NewReader(string(in)), 4096)
 			c := Counts{}
 			for n := 0; d.answer(r, &c) == nil; n++ {
@@ -203,7 +225,7 @@
 		b.Run(p, func(b *testing.B) {
 			o := small("127.0.0.1:1")
 			o.Protocol, o.Bytes = p, 100
-			d, h, c := dialectOf(&o), hdrhistogram.New(1, longest, 3), Counts{}
+			d, h, c := dialectOf(&o, Target{}), hdrhistogram.New(1, longest, 3), Counts{}
 			answer := "VA 100 O1\r\n" + strings.Repeat("v", 100) + "\r\n"
 			if p == "resp" {
 				answer = "$100\r\n" + strings.Repeat("v", 100) + "\r\n"
--- /dev/null
+++ b/internal/router/meta_bench_test.go
@@ -0,0 +1,130 @@
+package router
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/load"
+)
+
+const metaConfigText = `site = "a"
+[limits]
+descriptors = 2048
+memory_mb = 192
+[[class]]
+name = "read"
+effect = "repeatable"
+aim_ms = 500
+deadline_ms = 2000
+[[class]]
+name = "put"
+effect = "once"
+aim_ms = 500
+deadline_ms = 2000
+[[tenant]]
+name = "t"
+share_per_s = 1000000000
+[[pool]]
+name = "p"
+listen = "ADDR"
+origin = "servers"
+[pool.servers]
+file = "servers.toml"
+[end]
+`
+
+// memcacheds starts three servers.
+func memcacheds(t testing.TB) (addrs []string) {
+	t.Helper()
+	server, err := exec.LookPath("memcached")
+	if err != nil {
+		t.Skip("skipped: there is no memcached on the PATH; nothing was measured")
+	}
+	for range 3 {
+		at := freePort(t)
+		_, port, _ := net.SplitHostPort(at)
+		process(t, at, server, "-l", "127.0.0.1", "-p", port, "-t", "1", "-m", "64", "-u", "nobody")
+		addrs = append(addrs, at)
+	}
+	return addrs
+}
+
+// metaProcess builds the program and runs it in front of servers.
+func metaProcess(t testing.TB, servers []string, more ...string) (addr string, pid int) {
+	t.Helper()
+	dir, list := t.TempDir(), ""
+	program := filepath.Join(dir, "cottonyoke")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/cottonyoke").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for i, s := range servers {
+		list += fmt.Sprintf("  {id = \"m-%02d\", addr = %q, site = \"a\"},\n", i, s)
+	}
+	addr = freePort(t)
+	for name, text := range map[string]string{"c.toml": strings.ReplaceAll(metaConfigText, "ADDR", addr), "servers.toml": "servers = [\n" + list + "]\nend = 3\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return addr, process(t, addr, program, append([]string{"serve", "-c", filepath.Join(dir, "c.toml")}, more...)...)
+}
+
+// BenchmarkHits measures reads that all hit: three memcached servers behind nutcracker and behind the router, one core each,
+// 32 connections, in turns within one run, and one server directly as the floor. One iteration is the whole measurement.
+// With COTTONYOKE_PROFILE=FILE the router writes a CPU profile.
+func BenchmarkHits(b *testing.B) {
+	servers := memcacheds(b)
+	var more []string
+	if f := os.Getenv("COTTONYOKE_PROFILE"); f != "" {
+		more = []string{"--profile", f}
+	}
+	addr, pid := metaProcess(b, servers, more...)
+	targets := []load.Target{{Name: "router", Addr: addr, PIDs: []int{pid}}, {Name: "direct", Addr: servers[0]}}
+	if program, err := exec.LookPath("nutcracker"); err == nil {
+		dir, at := b.TempDir(), freePort(b)
+		text := "alpha:\n  listen: " + at + "\n  hash: fnv1a_64\n  distribution: ketama\n  servers:\n"
+		for _, s := range servers {
+			text += "   - " + s + ":1\n"
+		}
+		if err := os.WriteFile(filepath.Join(dir, "n.yml"), []byte(text), 0o600); err != nil {
+			b.Fatal(err)
+		}
+		_, stats, _ := net.SplitHostPort(freePort(b))
+		npid := process(b, at, program, "-c", filepath.Join(dir, "n.yml"), "-s", stats, "-a", "127.0.0.1", "-o", filepath.Join(dir, "log"))
+		targets = append(targets, load.Target{Name: "nutcracker", Addr: at, PIDs: []int{npid}, Classic: true})
+	}
+	o := load.Options{Protocol: "meta", Class: "read", Poll: "put", Tenant: "t", Keys: 1000, Seed: 1, Warm: 500 * time.Millisecond, For: 2 * time.Second, Rounds: 3}
+	for _, s := range servers { // each holds all keys: whoever is asked has them
+		w := o
+		w.Targets, w.Writes, w.Conns, w.Rounds = []load.Target{{Name: "fill", Addr: s, Classic: true}}, 1, 4, 1
+		if _, err := load.Run(b.Context(), w); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for _, other := range targets[1:] {
+		for _, depth := range []int{1, 16} {
+			b.Run(fmt.Sprintf("%s/depth=%d", other.Name, depth), func(b *testing.B) {
+				o := o
+				o.Targets, o.Depth = []load.Target{other, targets[0]}, depth
+				rep, err := load.Run(b.Context(), o)
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, r := range rep.Targets {
+					if r.Odd+r.Failed+r.Lost > 0 {
+						b.Errorf("%s: %+v", r.Name, r.Counts)
+					}
+					b.Logf("%-10s %7.0f/s %.0f, cpu %5.1f us, p50 %5.0f us, p99 %5.0f us, absent %d, refused %d", r.Name, r.Rate, r.Rates, r.CPU, r.P50, r.P99, r.Absent, r.Refused)
+				}
+				b.ReportMetric(rep.RateRatio, "ratio")
+				b.ReportMetric(rep.CPURatio, "cpu-ratio")
+			})
+		}
+	}
+}
--- a/internal/router/resp_bench_test.go
+++ b/internal/router/resp_bench_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,10 +18,16 @@
 func process(t testing.TB, addr, name string, args ...string) (pid int) {
 	t.Helper()
 	cmd := exec.Command(name, args...)
+	cmd.Stderr = t.Output()
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() }) //nolint:errcheck // it was killed
+	t.Cleanup(func() { // it may have something to write
+		cmd.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
+		kill := time.AfterFunc(5*time.Second, func() { cmd.Process.Kill() })
+		cmd.Wait() //nolint:errcheck // it was told to end
+		kill.Stop()
+	})
 	until(t, name+" listens", func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
