Look at requests that wait only where they may go on: a load at a rate had stopped the router

Where servers fetch by themselves and keys were not seen for 10 s, requests wait for a place at the origin. Each event then looked at all that wait, and for each counted all that are open: with thousands, every event took milliseconds, and the overload fed itself. Clients that wait for answers never showed it.

Change: those that ask the origin are counted as they come and go. Where nobody can go on (no place, no key stored since) who waits is not looked at.

Reload and a hot key on four engines.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -460,6 +460,9 @@
 
 // close forgets a request that has its final answer, but for attempts still out.
 func (b *Balancer) close(r *request) {
+	if r.asks && !r.closed {
+		b.asking--
+	}
 	r.closed = true
 	for i, a := range r.tries {
 		if !a.over && b.cfg.Cancel {
@@ -476,7 +479,7 @@
 
 func (b *Balancer) ended(r *request, a *attempt, o Outcome) {
 	asked, lost := r.asks, o.Status == Failed && o.Note == 2 && !b.cfg.Aside // lost: the origin's failure
-	if r.asks = false; o.Status.tells() && !lost && !(asked && o.Status == TimedOut) {
+	if b.setAsks(r, false); o.Status.tells() && !lost && !(asked && o.Status == TimedOut) {
 		b.observe(a.s, o.Status, a.at)
 	}
 	if timeout := o.Status == TimedOut && !asked; a.s != b.origin && (timeout || o.Status == QueueFull) {
@@ -509,7 +512,7 @@
 			}
 			a.s.lat.see(b.now, o.Latency/r.work, min(latMost, latTells*r.work))
 		}
-		r.key.stored, r.key.storeAt = b.now, a.s
+		r.key.stored, r.key.storeAt, b.stored = b.now, a.s, true
 	}
 	// A read whose answer was spoilt, or whose connection ended at a server not thought sick, is asked for
 	// again where it is kept: it takes no fetch. A dead server costs a second attempt, which spare bounds.
@@ -618,6 +621,12 @@
 
 // pump lets held requests go on, those worth most first: to where their key is stored, or to the origin.
 func (b *Balancer) pump() {
+	// Without a place, and no key stored since, nobody goes on where servers fetch by themselves: in overload
+	// thousands wait, and looking at each for every event of others made the overload last.
+	if !b.cfg.Aside && !b.stored && b.fetching() >= max(1, b.fetches) {
+		return
+	}
+	b.stored = false
 	slices.SortStableFunc(b.held, func(p, q *request) int { return cmp.Compare(q.worth, p.worth) })
 	b.held = slices.DeleteFunc(b.held, func(r *request) bool {
 		k, o := r.key, b.origin
@@ -636,7 +645,7 @@
 			if r.held = 0; !r.Write {
 				k.fetch = r
 			}
-			if r.asks = !b.cfg.Aside; r.asks {
+			if b.setAsks(r, !b.cfg.Aside); r.asks {
 				b.try(r)
 			} else {
 				b.send(r, o)
@@ -655,7 +664,7 @@
 		st = OK
 	}
 	if r.key.fetch == r && st == OK {
-		r.key.stored, r.key.storeAt = b.now, r.missed
+		r.key.stored, r.key.storeAt, b.stored = b.now, r.missed, true
 	}
 	late := st == TimedOut && lat > 2*b.olat.floor // else it was sent too late: no sign of a slow origin
 	if st == OK || late {
--- a/decide/size_test.go
+++ b/decide/size_test.go
@@ -91,3 +91,44 @@
 		b.ReportMetric(float64(most.Microseconds())/1000, "most-ms")
 	})
 }
+
+// In overload thousands wait for a place at the origin. What each event costs must not grow with their square, nor the count
+// of those that ask drift: it is that of the requests themselves.
+func TestManyThatWait(t *testing.T) {
+	cfg := testConfig()
+	cfg.Copies = false
+	b, h := start(t, cfg, fleet(6))
+	now := 100000.0
+	count := func() (n int) {
+		for _, r := range b.reqs {
+			if r.asks && !r.closed {
+				n++
+			}
+		}
+		return n
+	}
+	began := time.Now()
+	for i := range 20000 {
+		now += 0.02
+		id := uint32(i + 1)
+		b.Request(now, Request{ID: id, Class: "read", Key: mix(uint64(i)), HasKey: true, Left: 600})
+		switch i % 50 {
+		case 7:
+			b.Gone(now, id-3)
+		case 11: // one that is out comes back, whichever that is
+			s := h.sends[len(h.sends)-1]
+			b.Outcome(now, Outcome{ID: s.id, Server: s.server, Status: []Status{OK, TimedOut, Failed}[i%3], Latency: 1, Note: 2, Load: NoLoad})
+		}
+		if i%500 == 0 {
+			if n := count(); n != b.asking {
+				t.Fatalf("event %d: %d ask, %d are counted", i, n, b.asking)
+			}
+		}
+	}
+	if len(b.held) < 5000 {
+		t.Errorf("%d wait: the test shows nothing", len(b.held))
+	}
+	if took := time.Since(began); took > 20*time.Second { // it was minutes
+		t.Errorf("%v for 20,000 requests", took)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -26,6 +26,8 @@
 	servers    map[uint32]*server
 	order      []*server // cache servers on the list, by id
 	origin     *server   // never a candidate
+	asking     int       // requests that are not closed and ask it by way of a server
+	stored     bool      // a key was, since requests that wait were looked at last
 	table      []*server // buckets of the memento-hash; nil = removed
 	epoch      int       // of the table
 	keys       map[uint64]*flow
@@ -455,13 +457,22 @@
 	if b.origin != nil {
 		return float64(b.origin.out)
 	}
-	n := 0
-	for _, r := range b.reqs {
-		if r.asks && !r.closed {
-			n++
-		}
+	return float64(b.asking)
+}
+
+// setAsks notes whether a request's attempt is likely to ask the origin by way of the server.
+func (b *Balancer) setAsks(r *request, asks bool) {
+	if r.asks == asks {
+		return
+	}
+	if r.asks = asks; r.closed {
+		return
+	}
+	if asks {
+		b.asking++
+	} else {
+		b.asking--
 	}
-	return float64(n)
 }
 
 // seldom is near 1 where seconds pass between two own sends to a server, near 0 where there are many.
--- a/internal/load/worker.go
+++ b/internal/load/worker.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -158,9 +159,7 @@
 	due := time.Now()
 	err := error(nil)
 	for err == nil && due.Before(c.end) {
-		if wait := time.Until(due); wait > 0 {
-			time.Sleep(wait)
-		}
+		w.sleepUntil(due)
 		now := time.Now()
 		var sent [64]*link
 		n := 0
@@ -178,6 +177,25 @@
 	return errors.Join(append(errs, err)...)
 }
 
+// sleepUntil waits until a request is due. The runtime's own sleep ends up to a millisecond late, as its poller counts in
+// those; so the last two are slept by the system, which takes a thread: not with very many connections.
+func (w *worker) sleepUntil(due time.Time) {
+	const coarse, most = 2 * time.Millisecond, 256
+	wait := time.Until(due)
+	if w.o.Conns > most {
+		time.Sleep(wait)
+		return
+	}
+	if wait > coarse {
+		time.Sleep(wait - coarse)
+		wait = time.Until(due)
+	}
+	if wait > 0 {
+		ts := syscall.NsecToTimespec(wait.Nanoseconds())
+		syscall.Nanosleep(&ts, nil) //nolint:errcheck // woken early, a request goes out early by so much
+	}
+}
+
 // flushPaced writes what has been added, and tells the readers what to expect.
 func (w *worker) flushPaced() error {
 	for _, l := range w.links {
--- a/internal/router/cores_test.go
+++ b/internal/router/cores_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,107 @@
 	}
 }
 
+// A key that alone is half of the load, on four engines: no engine knows what the others send, and still more than one server
+// serves it, as one can't. Each server answers one request at a time.
+func TestHotKeyOnFourEngines(t *testing.T) {
+	var hot [4]atomic.Int64
+	entries := []member.Entry{originAt("127.0.0.1:1")}
+	for i := range hot {
+		var one sync.Mutex
+		s := startFake(t, func(l string) string {
+			if strings.Contains(l, " 00000000000000aa ") {
+				hot[i].Add(1)
+			}
+			one.Lock()
+			defer one.Unlock()
+			time.Sleep(500 * time.Microsecond)
+			return hit(l)
+		})
+		entries = append(entries, box(fmt.Sprintf("s-%08x", 0xb+i), s.Addr))
+	}
+	_, _, cs := onCores(t, 4, 24, entries...)
+	var served, other atomic.Int64
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	for i, c := range cs {
+		wg.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				key := fmt.Sprintf("%016x", 0x1000+n%500)
+				if n%2 == 0 {
+					key = "00000000000000aa"
+				}
+				switch got := c.ask(fmt.Sprintf("mg %s v Oc%d-%d Pc=read,t=t,d=2000", key, i, n)); {
+				case strings.HasPrefix(got, "VA "):
+					served.Add(1)
+				case strings.HasPrefix(got, "SERVER_ERROR "):
+					other.Add(1)
+				default:
+					t.Errorf("got %q", got)
+				}
+			}
+		})
+	}
+	until(t, "load over some solves", func() bool { return served.Load() > 4000 })
+	stop.Store(true)
+	wg.Wait()
+	sum, most, by := int64(0), int64(0), 0
+	for i := range hot {
+		n := hot[i].Load()
+		if sum, most = sum+n, max(most, n); n > 20 {
+			by++
+		}
+	}
+	t.Logf("%d served, %d not; the hot key %d times, at most %d by one server, %d servers", served.Load(), other.Load(), sum, most, by)
+	if by < 2 || most > sum*9/10 || other.Load() > served.Load()/4 {
+		t.Errorf("%d of %d by one server, %d served, %d not", most, sum, served.Load(), other.Load())
+	}
+}
+
+// A new configuration in the middle of a load reaches all engines: its class is taken on every connection, and no request is
+// lost meanwhile.
+func TestReloadUnderLoadOnAllEngines(t *testing.T) {
+	s := startFake(t, hit)
+	r, _, cs := onCores(t, 4, 16, box("s-0000000b", s.Addr), originAt(s.Addr))
+	var asked, wrong atomic.Int64
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	for i, c := range cs {
+		wg.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				if asked.Add(1); !strings.HasPrefix(c.ask(read(fmt.Sprintf("c%d-%d", i, n), 2000)), "VA ") {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	until(t, "load", func() bool { return asked.Load() > 200 })
+	next := *r.setup.Config
+	next.Own = true // classes change in the program's own configuration alone
+	m := &next.Checked.Config
+	fast := m.Classes[0]
+	fast.Name = "fast"
+	m.Classes = append(slices.Clone(m.Classes), fast)
+	r.updates <- Setup{Config: &next}
+	n := 0
+	until(t, "the new class on all engines", func() bool { // a connection that names an unknown class ends
+		for range 16 {
+			c := dial(t, r.addr)
+			n++
+			got := c.ask(fmt.Sprintf("mg 7f3a9c21e0b4d655 v Of%d Pc=fast,t=t,d=2000", n))
+			c.Close()
+			if !strings.HasPrefix(got, "VA ") {
+				return false
+			}
+		}
+		return true
+	})
+	stop.Store(true)
+	wg.Wait()
+	if wrong.Load() > 0 {
+		t.Errorf("%d of %d were not served", wrong.Load(), asked.Load())
+	}
+}
+
 // A router that is told to stop in the middle of a load on all engines answers all that it has taken.
 func TestStopUnderLoadOnAllEngines(t *testing.T) {
 	s := startFake(t, func(l string) string { time.Sleep(2 * time.Millisecond); return hit(l) })
