--- a/internal/router/meta_bench_test.go
+++ b/internal/router/meta_bench_test.go
@@ -112,12 +112,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				for _, r := range rep.Targets {
-					if r.Odd+r.Failed+r.Lost > 0 {
-						b.Errorf("%s: %+v", r.Name, r.Counts)
-					}
-					b.Logf("%-10s %7.0f/s %.0f, cpu %5.1f us, p50 %5.0f us, p99 %5.0f us, absent %d, refused %d", r.Name, r.Rate, r.Rates, r.CPU, r.P50, r.P99, r.Absent, r.Refused)
-				}
+				logResults(b, rep)
 				b.ReportMetric(rep.RateRatio, "ratio")
 				b.ReportMetric(rep.CPURatio, "cpu-ratio")
 			})
@@ -140,9 +135,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			for _, r := range rep.Targets {
-				b.Logf("%-10s %7.0f/s, cpu %5.1f us, p50 %5.0f us, p99 %5.0f us, p99.9 %5.0f us, refused %d", r.Name, r.Rate, r.CPU, r.P50, r.P99, r.P999, r.Refused)
-			}
+			logResults(b, rep)
 			b.ReportMetric(rep.P99Added, "p99-added-us")
 		})
 	}
@@ -174,12 +167,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			for _, r := range rep.Targets {
-				if r.Odd+r.Failed+r.Lost > 0 {
-					b.Errorf("%s: %+v", r.Name, r.Counts)
-				}
-				b.Logf("%-10s %7.0f/s %.0f, cpu %5.1f us, p50 %5.0f us, p99 %5.0f us, refused %d, the load took %.0f%% of the machine", r.Name, r.Rate, r.Rates, r.CPU, r.P50, r.P99, r.Refused, 100*r.Own)
-			}
+			logResults(b, rep)
 			b.ReportMetric(rep.RateRatio, "ratio")
 		})
 	}
--- a/internal/router/resp_bench_test.go
+++ b/internal/router/resp_bench_test.go
@@ -79,6 +79,18 @@
 	return addr, process(t, addr, program, "-c", cfg, "-s", stats, "-a", "127.0.0.1", "-o", filepath.Join(dir, "log")), true
 }
 
+// logResults logs what each target has shown; an answer that is none is an error.
+func logResults(b *testing.B, rep load.Report) {
+	b.Helper()
+	for _, r := range rep.Targets {
+		if r.Odd+r.Failed+r.Lost > 0 {
+			b.Errorf("%s: %+v", r.Name, r.Counts)
+		}
+		b.Logf("%-10s %3d conns, depth %2d: %7.0f/s %.0f, cpu %5.1f us, p50 %5.0f us, p99 %5.0f us, p99.9 %5.0f us, refused %d, absent %d, the load took %.0f%%",
+			r.Name, rep.Conns, rep.Depth, r.Rate, r.Rates, r.CPU, r.P50, r.P99, r.P999, r.Refused, r.Absent, 100*r.Own)
+	}
+}
+
 // BenchmarkAgainst measures reads through the router against a cluster client that goes to a real cluster directly, and
 // against nutcracker, each pair in turns within one run: the whole report of each is logged. It needs redis-server on the
 // PATH; one iteration is the whole measurement.
@@ -98,12 +110,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		for _, r := range rep.Targets {
-			if r.Odd+r.Failed+r.Lost > 0 {
-				b.Errorf("%s: %+v", r.Name, r.Counts)
-			}
-			b.Logf("%-10s %3d conns, depth %2d: %7.0f/s, cpu %5.1f us, p50 %6.0f us, p99 %6.0f us, refused %d", r.Name, o.Conns, o.Depth, r.Rate, r.CPU, r.P50, r.P99, r.Refused)
-		}
+		logResults(b, rep)
 		if len(rep.Targets) == 2 {
 			b.ReportMetric(rep.RateRatio, "ratio")
 			b.ReportMetric(rep.P50Added, "p50-added-us")
