Leave the origin more sockets than its bound on fetches where descriptors are fewest

Reason: half of the sockets for one server is 50 with the platform's 256 descriptors, and the module may have 64 fetches out at the origin. Change: three quarters (75).

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -274,13 +274,14 @@
 	return true
 }
 
-// most is how many connections one server may have: where there are others, half of all, or one that hangs would take the
-// sockets that requests to the others need. The caller holds mu.
+// most is how many connections one server may have: where there are others, three quarters of all, or one that hangs would
+// take the sockets that requests to the others need. That leaves the origin more than the module's bound on fetches (64) where
+// descriptors are fewest. The caller holds mu.
 func (u *Pool) most() int {
 	if len(u.targets) < 2 {
 		return u.limit
 	}
-	return max(1, u.limit/2)
+	return max(1, u.limit*3/4)
 }
 
 // put keeps a connection for the next attempt, or closes it.
