Read each server connection by one goroutine and let the engine write its commands

Each attempt had a goroutine of its own, and giving one up closed its connection, which waits for who reads: an engine that gave up thousands together stood still for as long. Now one goroutine reads from a connection while it is open, the engine writes what goes into the socket at once, and giving up shuts the connection down without waiting; timers are carried out 64 at a time. What arrives while nothing is asked ends the connection, however late its reader is scheduled.

--- /dev/null
+++ b/internal/backend/conn_test.go
@@ -0,0 +1,247 @@
+package backend
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"mossproxy.example/mossproxy/decide"
+	"mossproxy.example/mossproxy/internal/engine"
+)
+
+// peer is the server's side of a connection that a test drives byte by byte.
+type peer struct {
+	*net.TCPConn
+	t *testing.T
+}
+
+// peers is a target whose server is the test itself, and its next connections.
+func peers(t *testing.T, isOrigin bool) (u *Pool, at *target, accept func() peer) {
+	t.Helper()
+	ln := listenLocal(t)
+	u = testPool(t, 10*time.Second, 10)
+	return u, u.add(ln.Addr().String(), speaks(isOrigin)), func() peer {
+		t.Helper()
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(wait))
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(wait))
+		return peer{c.(*net.TCPConn), t}
+	}
+}
+
+// asked reads up to the end of a command's line.
+func (p peer) asked() string {
+	p.t.Helper()
+	var line []byte
+	for b := make([]byte, 1); !bytes.HasSuffix(line, []byte("\r\n")); {
+		if _, err := p.Read(b); err != nil {
+			p.t.Fatalf("after %q: %v", line, err)
+		}
+		line = append(line, b[0])
+	}
+	return string(line)
+}
+
+// say writes to the router.
+func (p peer) say(text string) {
+	p.t.Helper()
+	if _, err := io.WriteString(p, text); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ask begins an attempt, which must not be over at once.
+func ask(t *testing.T, at *target, stop *engine.Stop, r *engine.Request) <-chan engine.Reply {
+	t.Helper()
+	a := asker{prober{make(chan engine.Reply, 1)}, always}
+	if got, known := at.Attempt(stop, r, engine.Try{Wait: 400}, a); known {
+		t.Fatalf("over at once: %v", got.Status)
+	}
+	return a.came
+}
+
+const value = "VA 5 Oa1 h1\r\nhello\r\n"
+
+// keep has one kept connection there.
+func keep(t *testing.T, at *target, accept func() peer) peer {
+	t.Helper()
+	came := ask(t, at, &engine.Stop{}, getCommand())
+	p := accept()
+	p.asked()
+	p.say(value)
+	if got := next(t, came, "answer"); got.Status != decide.OK {
+		t.Fatalf("got %v", got.Status)
+	}
+	return p
+}
+
+// until waits for something that a socket brings about.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(wait); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// The end of a kept connection shows at once, with nobody looking.
+func TestEndOfAKeptConnectionIsSeenAtOnce(t *testing.T) {
+	u, at, accept := peers(t, false)
+	p := keep(t, at, accept)
+	p.Close()
+	until(t, "a connection that has ended is counted", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.open == 0 && len(at.idle) == 0
+	})
+}
+
+// What comes while nothing is asked is nobody's answer, even if it reads like that of the next request.
+func TestAnswerAheadOfItsRequestIsNobodys(t *testing.T) {
+	for range 50 { // the next request is begun before, while and after the reader sees it
+		_, at, accept := peers(t, false)
+		p := keep(t, at, accept)
+		p.say("VA 5 Oa1 h1\r\nstale\r\n") // over loopback it is there once this returns
+		came := ask(t, at, &engine.Stop{}, getCommand())
+		other := accept() // the old one is of no use
+		other.asked()
+		other.say(value)
+		if got := next(t, came, "answer"); string(got.Body) != "hello" {
+			t.Fatalf("got %v, %q", got.Status, got.Body)
+		}
+	}
+}
+
+// bigPut is a write that no socket takes at once from a server that reads nothing.
+func bigPut() *engine.Request {
+	r := putCommand()
+	r.Value = bytes.Repeat([]byte("x"), 16<<20)
+	return r
+}
+
+// A command that does not fit into the socket is finished without holding up who began it, and its answer counts once all of it
+// is written.
+func TestLongCommandIsFinishedBehind(t *testing.T) {
+	_, at, accept := peers(t, false)
+	p := keep(t, at, accept)
+	came := ask(t, at, &engine.Stop{}, bigPut()) // returns though nothing is read
+	p.asked()
+	if n, err := io.CopyN(io.Discard, p, 16<<20+2); err != nil {
+		t.Fatalf("after %d bytes: %v", n, err)
+	}
+	p.say("HD Oa1 c77\r\n")
+	if got := next(t, came, "receipt"); got.Status != decide.OK || string(got.Body) != "77" {
+		t.Errorf("got %v, %q", got.Status, got.Body)
+	}
+}
+
+// A server that answers before it has all of a command, and reads no further, has not got it: nothing has run.
+func TestAnswerToHalfACommandIsNone(t *testing.T) {
+	u, at, accept := peers(t, false)
+	p := keep(t, at, accept)
+	came := ask(t, at, &engine.Stop{}, bigPut())
+	p.asked()
+	p.say("HD Oa1 c77\r\n")
+	p.SetLinger(0)
+	p.Close() // with input unread
+	if got := next(t, came, "end"); got.Status != decide.ConnectError {
+		t.Errorf("got %v: the last byte was never out", got.Status)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open != 0 {
+		t.Errorf("%d connections are still counted", u.open)
+	}
+}
+
+// Giving up an attempt whose command is not all out ends it.
+func TestGivingUpALongCommand(t *testing.T) {
+	_, at, accept := peers(t, false)
+	p := keep(t, at, accept)
+	var stop engine.Stop
+	came := ask(t, at, &stop, bigPut())
+	p.asked()
+	stop.Now()
+	if got := next(t, came, "end"); got.Status != decide.ConnectError {
+		t.Errorf("got %v", got.Status)
+	}
+	if _, err := io.Copy(io.Discard, p); err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("the server's side: %v", err)
+	}
+}
+
+// An attempt that was given up must not close the connection of the one that has it now.
+func TestLateStopClosesNobodyElses(t *testing.T) {
+	_, at, accept := peers(t, false)
+	p := keep(t, at, accept)
+	var first engine.Stop
+	came := ask(t, at, &first, getCommand())
+	p.asked()
+	p.say(value)
+	next(t, came, "first answer")
+	came = ask(t, at, &engine.Stop{}, getCommand())
+	first.Now()
+	p.asked()
+	p.say(value)
+	if got := next(t, came, "second answer"); got.Status != decide.OK {
+		t.Errorf("got %v", got.Status)
+	}
+}
+
+// Attempts, ends of connections and attempts that are given up at once and together: each is told its end once, none gets
+// another's value, and every connection is booked.
+func TestAttemptsOverConnectionsThatEnd(t *testing.T) {
+	u := testPool(t, 10*time.Second, 8)
+	const own = "VA 3 O{id} h1\r\n{id}\r\n"
+	f := startFake(t, func(line string) string {
+		switch line = strings.TrimSpace(line); {
+		case strings.HasSuffix(line, "1"):
+			return own + "{cut}"
+		case strings.HasSuffix(line, "2"):
+			return "close"
+		case strings.HasSuffix(line, "3"):
+			return own + own
+		}
+		return own
+	})
+	at := u.add(f.Addr, speaks(false))
+	const each, askers = 200, 6
+	ended := make(chan int, askers)
+	for a := range askers {
+		go func() {
+			n := 0
+			for i := range each {
+				r := getCommand()
+				r.ID = strings.Repeat("abcdefgh"[a:a+1], 3)
+				r.Facts += ",x=" + string(rune('0'+i%10))
+				var stop engine.Stop
+				if i%7 == 0 {
+					go stop.Now()
+				}
+				got := attempt(at, &stop, r, always)
+				if n++; got.Status == decide.OK && string(got.Body) != r.ID {
+					t.Errorf("got %q", got.Body)
+				}
+			}
+			ended <- n
+		}()
+	}
+	for range askers {
+		if n := next(t, ended, "asker"); n != each {
+			t.Errorf("%d ends", n)
+		}
+	}
+	until(t, "connections are booked that are neither kept nor at work", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.open == len(at.idle) && at.open == u.open
+	})
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -7,9 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -17,7 +15,6 @@
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/engine"
-	"mossproxy.example/mossproxy/internal/sock"
 )
 
 // Protocol is what a server speaks. Its methods may be called from any goroutine.
@@ -48,67 +45,6 @@
 	gone  bool    // no connection to it is kept any more
 }
 
-// conn is a connection to a target. It carries one attempt at a time: answers come in order and giving up
-// closes it, so others behind it would wait for the first, or go down with it.
-type conn struct {
-	net.Conn
-	r     *bufio.Reader
-	left  int       // bytes that may still come for what is being read
-	since time.Time // idle since
-	fresh bool      // nothing has been written
-	began time.Time // an answer is being read since
-	timed bool      // and has a deadline
-	close func()    // Close, made once
-}
-
-// An answer is bounded in bytes and in time, whatever it says of itself.
-const (
-	maxAnswer  = 160 << 10              // two heads of 16 KiB and two values, with room for chunks and provisional answers
-	answerRest = 250 * time.Millisecond // for the rest to come once it has begun; aims are longer, so a read is tried again in time
-)
-
-// Read reads from the connection, up to the bound.
-func (c *conn) Read(b []byte) (int, error) {
-	if c.left <= 0 {
-		return 0, fmt.Errorf("answer over %d bytes", maxAnswer)
-	}
-	if !c.timed && !c.began.IsZero() { // the answer did not come in one piece: only then is its time bounded, as that costs
-		c.timed = true
-		if err := c.SetReadDeadline(c.began.Add(answerRest)); err != nil {
-			return 0, err
-		}
-	}
-	n, err := c.Conn.Read(b[:min(len(b), c.left)])
-	c.left -= n
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = errors.New("answer stopped short")
-	}
-	return n, err
-}
-
-// begun waits for an answer's first byte and bounds the rest.
-func (c *conn) begun() error {
-	c.left, c.began = maxAnswer, time.Time{}
-	if _, err := c.r.Peek(1); err != nil {
-		return err
-	}
-	c.began = time.Now()
-	return nil
-}
-
-// clean tells whether nothing has come with the answer that was read. What else is there belongs to no request; what comes
-// later is found when the connection is taken again.
-func (c *conn) clean() bool {
-	c.began = time.Time{}
-	if c.timed {
-		c.timed = false
-		if c.SetReadDeadline(time.Time{}) != nil {
-			return false
-		}
-	}
-	return c.r.Buffered() == 0
-}
-
 // Pool keeps the connections to cache servers and origin.
 type Pool struct {
 	dialer  net.Dialer
@@ -118,14 +54,9 @@
 	mu      sync.Mutex
 	open    int // connections open or being opened
 	targets map[*target]struct{}
+	ended   bool // nothing is kept any more
 }
 
-// lineSize is the size of a reader's buffer, and the longest line that a protocol can read.
-const lineSize = 4096
-
-// errNoSocket tells that the limit on sockets is reached.
-var errNoSocket = errors.New("no socket left")
-
 // NewPool keeps at most limit connections to all servers together. Servers close connections that stand idle for
 // connIdle; one that is not up within connectTimeout has failed.
 func NewPool(connIdle, connectTimeout time.Duration, limit int) *Pool {
@@ -181,7 +112,7 @@
 	}
 }
 
-// Sweep closes connections that have stood idle for long or that the other side has closed, until ctx ends.
+// Sweep closes connections that have stood idle for long, until ctx ends.
 func (u *Pool) Sweep(ctx context.Context) {
 	tick := time.NewTicker(500 * time.Millisecond)
 	defer tick.Stop()
@@ -190,8 +121,10 @@
 		case <-ctx.Done():
 			u.mu.Lock()
 			defer u.mu.Unlock()
+			u.ended = true
 			for t := range u.targets {
 				closeAll(t.idle)
+				t.count(-len(t.idle))
 				t.idle = nil
 			}
 			return
@@ -202,7 +135,7 @@
 		for t := range u.targets {
 			before := len(t.idle)
 			t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
-				dead := time.Since(c.since) >= u.maxIdle || !c.quiet()
+				dead := time.Since(c.since) >= u.maxIdle
 				if dead {
 					old = append(old, c)
 				}
@@ -215,46 +148,46 @@
 	}
 }
 
-// quiet reports whether an idle connection is open and has nothing to read: an end, a reset or a stray answer makes
-// it useless, and a request written to it would end as a reset.
-func (c *conn) quiet() bool { return c.r.Buffered() == 0 && sock.Quiet(c.Conn) }
-
-// take returns a connection to t, a kept one where there is one. stop ends the opening of another.
-func (u *Pool) take(stop *engine.Stop, t *target) (*conn, error) {
+// take takes a kept connection to t for an attempt, nil where there is none. The one that has been idle for longest, so that a
+// peak's connections stay in use: taking the latest let the others run out, and twice as many handshakes, each work for the
+// server, had to be made.
+func (u *Pool) take(t *target) *conn {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	for len(t.idle) > 0 && time.Since(t.idle[0].since) >= t.proto.Rest() {
-		// The one that has been idle for longest, so that a peak's connections stay in use: taking the latest let the
-		// others run out, and twice as many handshakes, each work for the server, had to be made.
 		c := t.idle[0]
 		t.idle = slices.Delete(t.idle, 0, 1)
-		if time.Since(c.since) < u.maxIdle && c.quiet() {
-			u.mu.Unlock()
-			return c, nil
+		if time.Since(c.since) < u.maxIdle {
+			return c
 		}
 		t.count(-1)
 		c.Close()
 	}
+	return nil
+}
+
+// room takes a place for one more connection to t, if there is any.
+func (u *Pool) room(t *target) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if t.open >= u.most() || u.open >= u.limit && !u.evict() {
-		u.mu.Unlock()
-		return nil, errNoSocket
+		return false
 	}
 	t.count(1)
-	u.mu.Unlock()
+	return true
+}
+
+// dial opens a connection, whose place is taken. stop ends the opening.
+func (u *Pool) dial(stop *engine.Stop, t *target) (*conn, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stop.Then(cancel)
 	c, err := u.dialer.DialContext(ctx, "tcp", t.addr)
 	stop.Release()
 	if err != nil {
-		u.mu.Lock()
-		t.count(-1)
-		u.mu.Unlock()
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
-	uc := &conn{Conn: c, fresh: true}
-	uc.close = func() { c.Close() }
-	uc.r = bufio.NewReaderSize(uc, lineSize)
-	return uc, nil
+	return newConn(t, c)
 }
 
 // evict closes the connection that has been idle for longest. The caller holds mu.
@@ -284,97 +217,113 @@
 	return max(1, u.limit*3/4)
 }
 
-// put keeps a connection for the next attempt, or closes it.
-func (u *Pool) put(t *target, c *conn, reuse bool) {
+// put keeps a connection for the next attempt, or closes it. It tells whether it is kept.
+func (u *Pool) put(c *conn, reuse bool) bool {
+	t := c.t
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if reuse = reuse && !t.gone; reuse {
+	if reuse = reuse && !t.gone && !u.ended; reuse {
 		c.since = time.Now()
 		t.idle = append(t.idle, c)
-		return
+		return true
 	}
 	t.count(-1)
 	c.Close()
+	return false
 }
 
-// Attempt is engine.Link's.
-func (t *target) Attempt(stop *engine.Stop, r *engine.Request, try engine.Try, begin func() bool) engine.Reply {
-	u := t.pool
-	a := engine.Reply{Load: decide.NoLoad}
+// drop lets a connection go that has ended, or brought what nobody asked for, while it was kept.
+func (u *Pool) drop(c *conn) {
+	t := c.t
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if i := slices.Index(t.idle, c); i >= 0 { // else who took it out has counted it
+		t.idle = slices.Delete(t.idle, i, i+1)
+		t.count(-1)
+	}
+	c.Close()
+}
+
+// Attempt is engine.Link's. On a kept connection the command is written here, as far as that needs no waiting; where there is
+// none, another is opened by a goroutine that reads from it from then on.
+func (t *target) Attempt(stop *engine.Stop, r *engine.Request, try engine.Try, caller engine.Caller) (engine.Reply, bool) {
 	wire, err := t.proto.Command(t.addr, r, try)
 	if err != nil {
-		a.Status = decide.Ignored // it was not sent
-		return a
-	}
-	c, err := u.take(stop, t)
-	switch {
-	case errors.Is(err, errNoSocket):
-		a.Status = decide.Ignored
-		return a
-	case err != nil:
-		a.Status, a.Refused = decide.ConnectError, errors.Is(err, syscall.ECONNREFUSED)
-		return a
-	case !begin():
-		u.put(t, c, true)
-		a.Status = decide.Canceled
-		return a
-	}
-	stop.Then(c.close)
-	opening := c.fresh
-	if c.fresh = false; opening {
-		wire = append(t.proto.Open(), wire...)
+		return engine.Reply{Status: decide.Ignored, Load: decide.NoLoad}, true // it was not sent
 	}
-	if _, err := c.Write(wire); err != nil { // the last byte is not out, so nothing can have run
-		stop.Release()
-		u.put(t, c, false)
-		a.Status = decide.ConnectError
-		return a
+	return t.begin(work{stop: stop, r: r, try: try, caller: caller}, wire)
+}
+
+// begin has some work done. It tells how that ended if it is known at once.
+func (t *target) begin(w work, wire []byte) (engine.Reply, bool) {
+	u := t.pool
+	for c := u.take(t); c != nil; c = u.take(t) {
+		got := c.start(w, wire)
+		if got == started {
+			return engine.Reply{}, false
+		}
+		if u.put(c, got == calledOff); got != unfit {
+			return engine.Reply{Status: notBegun[got], Load: decide.NoLoad}, true
+		}
 	}
-	last := false
-	err = c.begun()
-	answered := err == nil
-	if answered && opening {
-		err = t.proto.Opened(c.r)
+	if !u.room(t) {
+		return engine.Reply{Status: decide.Ignored, Load: decide.NoLoad}, true
 	}
-	if answered && err == nil {
-		a, last, err = t.proto.Answer(c.r, t.addr, r, try)
+	go t.connect(w, wire)
+	return engine.Reply{}, false
+}
+
+// connect opens a connection for some work, whose place is taken, and reads from it until it ends.
+func (t *target) connect(w work, wire []byte) {
+	u := t.pool
+	c, err := u.dial(w.stop, t)
+	if err != nil {
+		u.mu.Lock()
+		t.count(-1)
+		u.mu.Unlock()
+		w.caller.Done(engine.Reply{Status: decide.ConnectError, Load: decide.NoLoad, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+		return
 	}
-	u.put(t, c, stop.Release() && err == nil && !last && c.clean())
-	switch {
-	case answered && err != nil: // not understood, or it broke off: it has run, and the server was at work
-		a.Status = decide.Spoilt
-	case err != nil: // ended after the last byte: it may have run
-		a.Status = decide.Reset
+	if got := c.start(w, wire); got != started {
+		kept := u.put(c, got == calledOff)
+		w.caller.Done(engine.Reply{Status: notBegun[got], Load: decide.NoLoad})
+		if !kept {
+			return
+		}
 	}
-	return a
+	c.serve()
 }
 
+// notBegun are the statuses of work that a connection did not begin.
+var notBegun = map[startResult]decide.Status{unfit: decide.ConnectError, calledOff: decide.Canceled, notWritten: decide.ConnectError}
+
+// prober is who a probe is made for.
+type prober struct{ came chan engine.Reply } // of capacity 1
+
+// Begin says that the probe is wanted.
+func (prober) Begin() bool { return true }
+
+// Done takes how the probe ended.
+func (p prober) Done(r engine.Reply) { p.came <- r }
+
 // Probe is engine.Link's.
 func (t *target) Probe(ctx context.Context) (decide.Status, decide.Load) {
-	u, l := t.pool, decide.NoLoad
-	if t.proto.Probe(t.addr) == "" {
-		return decide.OK, l
+	text := t.proto.Probe(t.addr)
+	if text == "" {
+		return decide.OK, decide.NoLoad
 	}
 	var stop engine.Stop
 	defer context.AfterFunc(ctx, stop.Now)()
-	c, err := u.take(&stop, t)
-	if err != nil {
-		return decide.ConnectError, l
-	}
-	stop.Then(c.close)
-	if _, err = io.WriteString(c, t.proto.Probe(t.addr)); err == nil {
-		err = c.begun()
+	p := prober{came: make(chan engine.Reply, 1)}
+	got, known := t.begin(work{stop: &stop, caller: p}, []byte(text))
+	if !known {
+		got = <-p.came
 	}
-	if err == nil {
-		l, err = t.proto.Load(c.r)
+	if got.Status == decide.Ignored { // no socket is left
+		got.Status = decide.ConnectError
 	}
-	reuse := stop.Release()
-	u.put(t, c, reuse && err == nil && c.clean())
-	switch {
-	case err == nil:
-		return decide.OK, l
-	case !reuse:
-		return decide.TimedOut, l
+	if got.Status != decide.OK && ctx.Err() != nil {
+		got.Status = decide.TimedOut
 	}
-	return decide.Reset, l
+	return got.Status, got.Load
 }
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -16,6 +16,7 @@
 	"mossproxy.example/mossproxy/internal/backend/origin"
 	"mossproxy.example/mossproxy/internal/engine"
 	proto "mossproxy.example/mossproxy/internal/proto/meta"
+	"mossproxy.example/mossproxy/internal/sock"
 	"mossproxy.example/mossproxy/internal/standin/standintest"
 )
 
@@ -54,6 +55,24 @@
 
 func always() bool { return true }
 
+// asker is who an attempt of a test is made for.
+type asker struct {
+	prober
+	begin func() bool
+}
+
+func (a asker) Begin() bool { return a.begin() }
+
+// attempt makes an attempt and waits for its end.
+func attempt(t *target, stop *engine.Stop, r *engine.Request, begin func() bool) engine.Reply {
+	a := asker{prober{make(chan engine.Reply, 1)}, begin}
+	got, known := t.Attempt(stop, r, engine.Try{Wait: 400}, a)
+	if !known {
+		got = <-a.came
+	}
+	return got
+}
+
 func testPool(t *testing.T, idle time.Duration, limit int) *Pool {
 	t.Helper()
 	u := NewPool(idle, 250*time.Millisecond, limit)
@@ -151,7 +170,7 @@
 			if c.write {
 				cmd = putCommand()
 			}
-			got := target.Attempt(&engine.Stop{}, cmd, engine.Try{Wait: 400}, always)
+			got := attempt(target, &engine.Stop{}, cmd, always)
 			if got.Status != c.want || got.Note != c.note {
 				t.Errorf("got status %v, note %d; want %v, %d", got.Status, got.Note, c.want, c.note)
 			}
@@ -171,7 +190,7 @@
 	ln := listenLocal(t)
 	refusing := u.add(ln.Addr().String(), speaks(false))
 	ln.Close()
-	if got := refusing.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always); got.Status != decide.ConnectError {
+	if got := attempt(refusing, &engine.Stop{}, getCommand(), always); got.Status != decide.ConnectError {
 		t.Errorf("refused: got %v", got.Status)
 	}
 }
@@ -188,10 +207,10 @@
 	})
 	target := u.add(f.Addr, speaks(true))
 	for n := range 3 {
-		if got := target.Attempt(&engine.Stop{}, putCommand(), engine.Try{Wait: 400}, always); got.Status != decide.OK {
+		if got := attempt(target, &engine.Stop{}, putCommand(), always); got.Status != decide.OK {
 			t.Fatalf("request %d: got %v", n, got.Status)
 		}
-		for kept := idle(u, target); len(kept) > 0 && kept[0].quiet(); {
+		for kept := idle(u, target); len(kept) > 0 && sock.Quiet(kept[0].Conn); {
 			time.Sleep(time.Millisecond) // until the end has come over the socket
 		}
 	}
@@ -204,7 +223,7 @@
 	f := startFake(t, hit)
 	u := testPool(t, 400*time.Millisecond, 10)
 	target, began := u.add(f.Addr, speaks(false)), time.Now()
-	target.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always)
+	attempt(target, &engine.Stop{}, getCommand(), always)
 	next(t, f.Ended, "end of the idle connection")
 	if took := time.Since(began); took < 200*time.Millisecond || took > 3*time.Second {
 		t.Errorf("closed after %v", took)
@@ -220,19 +239,19 @@
 	u := testPool(t, 10*time.Second, 1)
 	f, silent := startFake(t, hit), startFake(t, func(string) string { return "" })
 	a, b := u.add(f.Addr, speaks(false)), u.add(silent.Addr, speaks(false))
-	if got := a.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always); got.Status != decide.OK {
+	if got := attempt(a, &engine.Stop{}, getCommand(), always); got.Status != decide.OK {
 		t.Fatalf("got %v", got.Status)
 	}
 	var stop engine.Stop
 	done := make(chan engine.Reply, 1)
-	go func() { done <- b.Attempt(&stop, getCommand(), engine.Try{Wait: 400}, always) }() // takes the place of the idle one
+	go func() { done <- attempt(b, &stop, getCommand(), always) }() // takes the place of the idle one
 	next(t, silent.Seen, "request")
-	if got := a.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always); got.Status != decide.Ignored {
+	if got := attempt(a, &engine.Stop{}, getCommand(), always); got.Status != decide.Ignored {
 		t.Errorf("beyond the limit: got %v", got.Status)
 	}
 	stop.Now()
 	next(t, done, "end of the attempt that was given up")
-	if got := a.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always); got.Status != decide.OK {
+	if got := attempt(a, &engine.Stop{}, getCommand(), always); got.Status != decide.OK {
 		t.Errorf("once there is room: got %v", got.Status)
 	}
 }
@@ -246,7 +265,7 @@
 	var stops [8]engine.Stop
 	done := make(chan engine.Reply, len(stops))
 	for i := range stops {
-		go func() { done <- b.Attempt(&stops[i], getCommand(), engine.Try{Wait: 400}, always) }()
+		go func() { done <- attempt(b, &stops[i], getCommand(), always) }()
 	}
 	for range 6 {
 		next(t, silent.Seen, "request")
@@ -257,7 +276,7 @@
 		}
 	}
 	for range 8 {
-		if got := a.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always); got.Status != decide.OK {
+		if got := attempt(a, &engine.Stop{}, getCommand(), always); got.Status != decide.OK {
 			t.Errorf("the other one: got %v", got.Status)
 		}
 	}
@@ -279,8 +298,8 @@
 	f := startFake(t, hit)
 	u := testPool(t, 10*time.Second, 10)
 	target := u.add(f.Addr, speaks(false))
-	target.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, func() bool { return false })
-	if got := target.Attempt(&engine.Stop{}, getCommand(), engine.Try{Wait: 400}, always); got.Status != decide.OK {
+	attempt(target, &engine.Stop{}, getCommand(), func() bool { return false })
+	if got := attempt(target, &engine.Stop{}, getCommand(), always); got.Status != decide.OK {
 		t.Errorf("got %v", got.Status)
 	}
 	next(t, f.Seen, "request")
@@ -308,25 +327,26 @@
 	f := startFake(t, hit)
 	u := testPool(t, 10*time.Second, 10)
 	target := u.add(f.Addr, speaks(false))
-	first, err := u.take(&engine.Stop{}, target)
-	if err != nil {
-		t.Fatal(err)
-	}
-	second, err := u.take(&engine.Stop{}, target)
-	if err != nil {
-		t.Fatal(err)
-	}
-	u.put(target, first, true)
-	u.put(target, second, true)
-	for n, want := range []*conn{first, second, first} {
-		got, err := u.take(&engine.Stop{}, target)
+	var opened [2]*conn
+	for i := range opened {
+		if !u.room(target) {
+			t.Fatal("no room")
+		}
+		c, err := u.dial(&engine.Stop{}, target)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got != want {
+		opened[i] = c
+	}
+	for _, c := range opened {
+		u.put(c, true)
+	}
+	for n, want := range []int{0, 1, 0} {
+		got := u.take(target)
+		if got != opened[want] {
 			t.Errorf("turn %d went to another connection", n)
 		}
-		u.put(target, got, true)
+		u.put(got, true)
 	}
 }
 
@@ -359,11 +379,11 @@
 	for n := range 5 {
 		cmd := getCommand()
 		cmd.ID = fmt.Sprint("a", n)
-		if got := target.Attempt(&engine.Stop{}, cmd, engine.Try{Wait: 400}, always); string(got.Body) != cmd.ID {
+		if got := attempt(target, &engine.Stop{}, cmd, always); string(got.Body) != cmd.ID {
 			t.Errorf("request %s: got status %v, %q", cmd.ID, got.Status, got.Body)
 		}
 		if n == 2 { // the copies are there now
-			for kept := idle(u, target); len(kept) > 0 && (kept[0].quiet() || time.Since(kept[0].since) < (20*time.Millisecond)); kept = idle(u, target) {
+			for kept := idle(u, target); len(kept) > 0 && (sock.Quiet(kept[0].Conn) || time.Since(kept[0].since) < (20*time.Millisecond)); kept = idle(u, target) {
 				time.Sleep(time.Millisecond)
 			}
 		}
--- a/internal/engine/allocs_test.go
+++ b/internal/engine/allocs_test.go
@@ -14,9 +14,9 @@
 var instantAnswer = Reply{Status: decide.OK, Load: decide.NoLoad, Note: 1, Body: []byte("v")}
 
 func (instant) Link(Server) Link { return instant{} }
-func (instant) Attempt(_ *Stop, _ *Request, _ Try, begin func() bool) Reply {
-	begin()
-	return instantAnswer
+func (instant) Attempt(_ *Stop, _ *Request, _ Try, caller Caller) (Reply, bool) {
+	caller.Begin()
+	return instantAnswer, true
 }
 func (instant) Probe(context.Context) (decide.Status, decide.Load) { return decide.OK, decide.NoLoad }
 func (instant) CloseIdle()                                         {}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -130,13 +130,20 @@
 
 // Link is the way to one server at one address. Its methods may be called from any goroutine.
 type Link interface {
-	// Attempt makes a request there once, never twice, and says how that ended. stop gives it up by closing its connection. begin is asked once, before the first byte: false calls the attempt off.
-	Attempt(stop *Stop, r *Request, try Try, begin func() bool) Reply
+	// Attempt begins to make a request there once, never twice, and does not block. It says how that ended where it is known at
+	// once, with true; else the caller's Done is told, from another goroutine. stop gives the attempt up by closing its connection.
+	Attempt(stop *Stop, r *Request, try Try, caller Caller) (Reply, bool)
 	Probe(ctx context.Context) (decide.Status, decide.Load)
 	CloseIdle()
 	Remove() // no further attempt comes; those that are out end as they may
 }
 
+// Caller is who an attempt is made for.
+type Caller interface {
+	Begin() bool // asked once, before the first byte, and does not block: false calls the attempt off
+	Done(Reply)  // told once how the attempt ended, where Attempt has not said so; it may wait a moment
+}
+
 // Server is one server on a list.
 type Server struct {
 	decide.Entry
@@ -180,6 +187,7 @@
 
 // attempt is one attempt of a request.
 type attempt struct {
+	e      *Engine
 	r      *request
 	n      int
 	server uint32
@@ -198,6 +206,12 @@
 	phaseOff            // and will never be written
 )
 
+// Begin is Caller's.
+func (a *attempt) Begin() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) }
+
+// Done is Caller's.
+func (a *attempt) Done(got Reply) { a.e.Post(func() { a.e.outcome(a, got) }) }
+
 // Budget bounds the bytes that are kept for one purpose. It may be used from any goroutine.
 type Budget struct {
 	used  atomic.Int64
@@ -359,9 +373,16 @@
 // timersAfter is the number of events after which timers are looked at: a batch of them takes milliseconds.
 const timersAfter = 32
 
-// tick carries out the timers that are due.
+// timersAtOnce bounds the timers that are carried out before events are looked at again: thousands that are due together, as
+// where a server hangs, would hold up all others for as long. An event sets two timers at most, and they keep up.
+const timersAtOnce = 2 * timersAfter
+
+// tick carries out timers that are due.
 func (e *Engine) tick() {
-	for len(e.timers) > 0 && e.timers[0].at <= e.now() {
+	for range timersAtOnce {
+		if len(e.timers) == 0 || e.timers[0].at > e.now() {
+			return
+		}
 		e.fire(heap.Pop(&e.timers).(*timer))
 		e.settle()
 	}
@@ -636,7 +657,7 @@
 	} else {
 		r.tries = r.few[:0]
 	}
-	a.r, a.n, a.server, a.at = r, len(r.tries), to, now
+	a.e, a.r, a.n, a.server, a.at = e.Engine, r, len(r.tries), to, now
 	r.tries, r.out = append(r.tries, a), r.out+1
 	t := e.targets[to]
 	a.t = t
@@ -647,10 +668,9 @@
 	a.due = timer{kind: attemptDue, a: a}
 	e.set(&a.due, left)
 	try := Try{Wait: left, Asking: slices.Contains(r.asking, to)}
-	go func() {
-		got := t.Attempt(&a.stop, r.Request, try, func() bool { return a.phase.CompareAndSwap(phaseOpening, phaseWriting) })
-		e.Post(func() { e.outcome(a, got) })
-	}()
+	if got, known := t.Attempt(&a.stop, r.Request, try, a); known {
+		e.later = append(e.later, func() { e.outcome(a, got) })
+	}
 }
 
 // Cancel gives an attempt up.
--- a/internal/engine/history_test.go
+++ b/internal/engine/history_test.go
@@ -35,8 +35,20 @@
 func (l *whimLink) CloseIdle() {}
 func (l *whimLink) Remove()    {}
 
-// Attempt ends as the seed has it. What may have run is counted from begin on.
-func (l *whimLink) Attempt(stop *Stop, r *Request, _ Try, begin func() bool) Reply {
+// Attempt ends as the seed has it, at once or later.
+func (l *whimLink) Attempt(stop *Stop, r *Request, _ Try, caller Caller) (Reply, bool) {
+	l.w.mu.Lock()
+	busy := l.w.rng.IntN(10) == 0
+	l.w.mu.Unlock()
+	if busy {
+		return Reply{Status: decide.Ignored, Load: decide.NoLoad}, true
+	}
+	go func() { caller.Done(l.attempt(stop, r, caller.Begin)) }()
+	return Reply{}, false
+}
+
+// attempt is one that takes its time. What may have run is counted from begin on.
+func (l *whimLink) attempt(stop *Stop, r *Request, begin func() bool) Reply {
 	w, given := l.w, make(chan struct{})
 	stop.Then(func() { close(given) })
 	w.mu.Lock()
--- a/internal/router/cores_test.go
+++ b/internal/router/cores_test.go
@@ -272,29 +272,8 @@
 // Requests that wait on a server that hangs, as many as there are places, are not felt by those on other servers: each of
 // these is answered while none of those is.
 func TestHangingServerIsNotFeltByOthers(t *testing.T) {
-	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
-	c := startCluster(t, 2, 0)
-	setup := respSetup(t, c.Nodes()[0].Addr(), "[limits]\ndescriptors = 16384\nmemory_mb = 512")
-	setup.Cores = 4
-	r := startSetup(t, setup)
-	hangs, lives := c.Nodes()[0], c.Nodes()[1]
-	key := keyAt(c, lives, "lives")
-	var ps []*peer
-	for range 16 {
-		p := dialRESP(t, r.addr)
-		until(t, "ready", func() bool { return p.ask("SET "+key+" 1") == "+OK" })
-		ps = append(ps, p)
-	}
-	hangs.Set(standin.Hangs)
-	var waiting []*peer
-	for i := range 640 { // 16 each: 10,240 that wait, or are refused at the limit of attempts
-		p := dialRESP(t, r.addr)
-		for n := range 16 {
-			p.send(fmt.Sprintf("INCR %s\r\n", keyAt(c, hangs, fmt.Sprintf("h%d-%d-", i, n))))
-		}
-		waiting = append(waiting, p)
-	}
+	ps, key, hang := besideAHang(t, 4)
+	waiting := hang()
 	began := time.Now()
 	for range 20 {
 		for _, p := range ps {
@@ -312,6 +291,74 @@
 	}
 }
 
+// besideAHang is a cluster of two nodes behind a router, peers that have got their answers, a key of one node, and what
+// has the other one hang with 10,240 commands at it.
+func besideAHang(t testing.TB, cores int) (ps []*peer, key string, hang func() (waiting []*peer)) {
+	t.Helper()
+	c := startCluster(t, 2, 0)
+	setup := respSetup(t, c.Nodes()[0].Addr(), "[limits]\ndescriptors = 16384\nmemory_mb = 512")
+	setup.Cores = cores
+	r := startSetup(t, setup)
+	hangs, lives := c.Nodes()[0], c.Nodes()[1]
+	key = keyAt(c, lives, "lives")
+	for range 16 {
+		p := dialRESP(t, r.addr)
+		until(t, "ready", func() bool { return p.ask("SET "+key+" 1") == "+OK" })
+		ps = append(ps, p)
+	}
+	return ps, key, func() (waiting []*peer) {
+		hangs.Set(standin.Hangs)
+		for i := range 640 { // 16 each: they wait, or are refused at the limit of attempts
+			p := dialRESP(t, r.addr)
+			for n := range 16 {
+				p.send(fmt.Sprintf("INCR %s\r\n", keyAt(c, hangs, fmt.Sprintf("h%d-%d-", i, n))))
+			}
+			waiting = append(waiting, p)
+		}
+		return waiting
+	}
+}
+
+// BenchmarkBesideAHang compares the times of reads at one node before the other hangs and while it does, with some 10,000
+// commands that wait at it: 16 clients, each with a read every 4 ms.
+func BenchmarkBesideAHang(b *testing.B) {
+	ps, key, hang := besideAHang(b, 1)
+	times := func(d time.Duration) (p50, p99 float64) {
+		all := make(chan []float64, len(ps))
+		end := time.Now().Add(d)
+		for i, p := range ps {
+			go func() {
+				var ms []float64
+				for due := time.Now().Add(time.Duration(i) * 250 * time.Microsecond); due.Before(end); due = due.Add(4 * time.Millisecond) {
+					time.Sleep(time.Until(due))
+					if got := p.ask("GET " + key); got != "1" {
+						b.Errorf("got %q", got)
+					}
+					ms = append(ms, float64(time.Since(due).Microseconds())/1000)
+				}
+				all <- ms
+			}()
+		}
+		var ms []float64
+		for range ps {
+			ms = append(ms, <-all...)
+		}
+		slices.Sort(ms)
+		return ms[len(ms)/2], ms[len(ms)*99/100]
+	}
+	times(500 * time.Millisecond)
+	b.ResetTimer()
+	for b.Loop() {
+		was50, was99 := times(2 * time.Second)
+		began := time.Now()
+		hang()
+		sent := time.Since(began)
+		is50, is99 := times(2 * time.Second)
+		b.Logf("alone p50 %.2f, p99 %.2f ms; beside the hang (sent in %v) %.2f, %.2f", was50, was99, sent, is50, is99)
+		b.ReportMetric(is99/was99, "p99_ratio")
+	}
+}
+
 // Clients that take no answers cost bounded memory, whatever engines they are on, and others go on being served.
 func TestSlowReadersOnAllEngines(t *testing.T) {
 	value := strings.Repeat("v", 60<<10)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -25,16 +25,32 @@
 		return 0, fmt.Errorf("peeking: %w", err)
 	}
 	if ctl := raw.Control(func(fd uintptr) { // not Read, which fails once the time for reading is up
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err = peekFD(fd)
 	}); ctl != nil {
 		return 0, fmt.Errorf("peeking: %w", ctl)
 	}
 	return n, err
 }
 
+func peekFD(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+// QuietFD is Quiet for a descriptor, within a call of a syscall.RawConn.
+func QuietFD(fd uintptr) bool {
+	_, err := peekFD(fd)
+	return quiet(err)
+}
+
 // Quiet reports whether a connection is open and has nothing to read: an end, a reset or a stray answer is something.
 func Quiet(c net.Conn) bool {
 	_, err := Peek(c)
+	return quiet(err)
+}
+
+// quiet says whether a look found neither input nor an end.
+func quiet(err error) bool {
 	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
 }
