--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -746,3 +746,51 @@
 		}
 	}
 }
+
+// Power is lost at any call under eight writers, whose batches are written in groups while others come into force: each one's
+// last acknowledged number is there, or the one after it.
+func TestPowerLostUnderManyWriters(t *testing.T) {
+	const writers = 8
+	for n := range 150 {
+		d := disk.New()
+		s := open(t, d, small)
+		d.LosePower(n)
+		var acked [writers]int
+		var wg sync.WaitGroup
+		for w := range writers {
+			wg.Go(func() {
+				for i := 1; i < 200; i++ {
+					var b Batch
+					b.Put(fmt.Sprint("a", w), []byte(strconv.Itoa(i)))
+					b.Put(fmt.Sprint("z", w), []byte(strconv.Itoa(i)))
+					if i%16 == 15 {
+						item, err := s.Get(fmt.Sprint("a", w))
+						if err != nil {
+							return // the power is gone
+						}
+						b.Expect(fmt.Sprint("a", w), item.Version)
+					}
+					if _, err := s.Apply(&b); err != nil {
+						if !errors.Is(err, ErrReadOnly) {
+							t.Errorf("writer %d: %v", w, err)
+						}
+						return
+					}
+					acked[w] = i
+				}
+			})
+		}
+		if n%3 == 0 {
+			wg.Go(func() { s.Compact(t.Context()) }) //nolint:errcheck // the power goes
+		}
+		wg.Wait()
+		s.Close()
+		got := content(t, open(t, d.Restart(disk.KeepSome(uint64(n))), small))
+		for w, last := range acked {
+			a, z := got[fmt.Sprint("a", w)], got[fmt.Sprint("z", w)]
+			if v, _ := strconv.Atoi(a); a != z || v != last && v != last+1 {
+				t.Fatalf("power lost at call %d: writer %d has %q and %q, %d was acknowledged", n, w, a, z, last)
+			}
+		}
+	}
+}
--- a/internal/store/lines_test.go
+++ b/internal/store/lines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -146,3 +147,41 @@
 		}
 	}
 }
+
+// A backup whose write, sync, rename or removal fails says so, and leaves the one before.
+func TestBackupThatFails(t *testing.T) {
+	s := open(t, disk.New(), small)
+	put(t, s, "a", "1")
+	to := disk.New()
+	back := func() error {
+		sn, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer sn.Release()
+		return sn.Backup(to, "backup.jsonl")
+	}
+	if err := back(); err != nil {
+		t.Fatal(err)
+	}
+	was := string(to.Content("backup.jsonl"))
+	put(t, s, "a", "2")
+	for _, op := range []string{"create", "write", "sync", "rename"} {
+		to.Fault(func(_ int, c disk.Call) error {
+			if c.Op == op {
+				return errors.New("input/output error")
+			}
+			return nil
+		})
+		if err := back(); err == nil || !strings.Contains(err.Error(), "input/output error") {
+			t.Errorf("%s fails: %v", op, err)
+		}
+		if string(to.Content("backup.jsonl")) != was {
+			t.Errorf("%s fails: the backup before is gone", op)
+		}
+	}
+	to.Fault(nil)
+	if err := back(); err != nil || string(to.Content("backup.jsonl")) == was {
+		t.Errorf("after that: %v", err)
+	}
+}
