--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -167,23 +167,10 @@
 type writer struct {
 	buf     []byte
 	news    map[string]uint64 // versions of keys in this group; 0 = deleted
-	spare   []pending         // the memory of a group that is done
 	pending []pending
-	version uint64   // the last one that is written
-	seg     *segment // the last one
-	end     int64    // of it
-	broken  error    // why nothing more is written
+	version uint64
 	again   []*commit
 	tells   bool // news is kept: something in this group asks for it
-	handed  bool // a group is with the publisher
-}
-
-// written is a group that is written and synced, on its way into force.
-type written struct {
-	seg     *segment
-	base    int64 // where it begins in the segment
-	end     int64
-	pending []pending
 }
 
 // pending is a commit that is in the buffer.
@@ -203,14 +190,10 @@
 	expires int64
 }
 
-// commits writes what comes, as much as has come meanwhile in one go, until the store is closed. It alone writes. While a group
-// is synced, the publisher brings the one before into force: so writers that wait come in two parties, and neither the disk nor
-// the index waits for the other.
+// commits writes what comes, as much as has come meanwhile in one go, until the store is closed. It alone writes.
 func (s *Store) commits() {
 	defer close(s.gone)
 	defer s.refuse()
-	defer close(s.handing)
-	defer s.settle()
 	for {
 		var c *commit
 		select {
@@ -222,30 +205,6 @@
 	}
 }
 
-// publishes brings into force what it is handed.
-func (s *Store) publishes() {
-	for g := range s.handing {
-		s.publish(g)
-		answer(g.pending, nil)
-		s.handed <- struct{}{}
-	}
-}
-
-// hand gives a group to the publisher once that has done the one before.
-func (s *Store) hand(g written) {
-	s.settle()
-	s.handing <- g
-	s.writer.handed = true
-}
-
-// settle waits until all that is written is in force.
-func (s *Store) settle() {
-	if s.writer.handed {
-		<-s.handed
-		s.writer.handed = false
-	}
-}
-
 // refuse answers what still waits when the store is closed.
 func (s *Store) refuse() {
 	for {
@@ -292,19 +251,34 @@
 	return n
 }
 
-// alone says whether a commit needs all those before it in force when it is looked at: it asks for versions, is compaction's, or
-// is in force before it is synced.
-func (c *commit) alone() bool { return c.Batch == nil || len(c.expect) > 0 || c.loose }
-
 // group writes, syncs and acknowledges commits.
 func (s *Store) group(group []*commit) {
 	w := &s.writer
-	alone := slices.ContainsFunc(group, (*commit).alone)
-	if alone {
-		s.settle()
+	w.buf, w.pending, w.version = w.buf[:0], w.pending[:0], s.version
+	w.tells = slices.ContainsFunc(group, func(c *commit) bool { return len(c.move) > 0 || c.Batch != nil && len(c.expect) > 0 })
+	clear(w.news)
+	now, loose := s.now(), true
+	unusable := s.usable()
+	for _, c := range group {
+		if unusable != nil {
+			c.done <- result{err: unusable}
+			continue
+		}
+		if c.roll {
+			err := s.roll()
+			if err != nil {
+				err = s.failed(err)
+				unusable = s.usable()
+			}
+			c.done <- result{err: err}
+			continue
+		}
+		if err := s.encode(c, now); err != nil {
+			c.done <- result{err: err}
+			continue
+		}
+		loose = loose && c.Batch != nil && c.loose
 	}
-	before := w.version
-	loose := s.encodeAll(group)
 	if len(w.pending) == 0 {
 		return
 	}
@@ -313,19 +287,11 @@
 		err = s.sync(g)
 	}
 	if err != nil {
-		w.version = before
-		answer(w.pending, err)
+		s.answer(err)
 		return
 	}
-	out := written{g, w.end, w.end + int64(len(w.buf)), w.pending}
-	w.end = out.end
-	if alone {
-		s.publish(out)
-		answer(out.pending, nil)
-	} else {
-		s.hand(out)
-		w.pending, w.spare = w.spare, w.pending
-	}
+	s.publish(g)
+	s.answer(nil)
 	if loose {
 		s.sync(g) //nolint:errcheck // nobody was promised it; what comes next is refused
 	}
@@ -334,33 +300,11 @@
 	}
 }
 
-// encodeAll fills the buffer with what is to be written of a group, and answers the others. It says whether all of it is loose.
-func (s *Store) encodeAll(group []*commit) (loose bool) {
-	w := &s.writer
-	w.buf, w.pending = w.buf[:0], w.pending[:0]
-	w.tells = slices.ContainsFunc(group, func(c *commit) bool { return len(c.move) > 0 || c.Batch != nil && len(c.expect) > 0 })
-	clear(w.news)
-	now := s.now()
-	loose = true
-	for _, c := range group {
-		switch {
-		case w.broken != nil:
-			c.done <- result{err: w.broken}
-		case c.roll:
-			err := s.roll()
-			if err != nil {
-				err = s.failed(err)
-			}
-			c.done <- result{err: err}
-		default:
-			if err := s.encode(c, now); err != nil {
-				c.done <- result{err: err}
-				continue
-			}
-			loose = loose && c.Batch != nil && c.loose
-		}
-	}
-	return loose
+// usable says why nothing can be written.
+func (s *Store) usable() error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.broken
 }
 
 // encode adds a commit to the buffer, or says why it is refused. Where nothing is to be written of it, it is answered.
@@ -391,7 +335,7 @@
 	}
 	if count == 0 && len(c.forget) == 0 { // an empty batch, or puts that have been overtaken
 		w.buf = w.buf[:p.at]
-		c.done <- result{version: w.version}
+		c.done <- result{version: s.version}
 		return nil
 	}
 	w.tell(p)
@@ -452,19 +396,23 @@
 
 // write puts bytes at the end of the log, without a sync.
 func (s *Store) write(b []byte) (*segment, error) {
-	if end := s.writer.end; end > headSize && end+int64(len(b)) > s.o.SegmentBytes {
-		s.settle() // a finished segment has all in force that is in it
+	s.mu.RLock()
+	g := s.segs[len(s.segs)-1]
+	s.mu.RUnlock()
+	if g.size > headSize && g.size+int64(len(b)) > s.o.SegmentBytes {
 		if err := s.roll(); err != nil {
 			return nil, s.failed(err)
 		}
+		s.mu.RLock()
+		g = s.segs[len(s.segs)-1]
+		s.mu.RUnlock()
 	}
-	g, end := s.writer.seg, s.writer.end
-	if _, err := g.file.WriteAt(b, end); err != nil {
-		err = fmt.Errorf("%s: offset %d: %w", g.name, end, err)
+	if _, err := g.file.WriteAt(b, g.size); err != nil {
+		err = fmt.Errorf("%s: offset %d: %w", g.name, g.size, err)
 		if !full(err) {
 			return nil, s.failed(err)
 		}
-		if cut := g.cut(end); cut != nil {
+		if cut := g.cut(g.size); cut != nil {
 			return nil, s.failed(cut)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrFull, err)
@@ -486,7 +434,6 @@
 	if s.broken == nil {
 		s.broken = fmt.Errorf("%w since %w; open it anew to go on", ErrReadOnly, err)
 	}
-	s.writer.broken = s.broken
 	return s.broken
 }
 
@@ -494,7 +441,9 @@
 	if err := g.file.Sync(); err != nil {
 		return s.failed(fmt.Errorf("%s: sync: %w", g.name, err))
 	}
-	s.synced.Add(1)
+	s.mu.Lock()
+	s.stats.synced++
+	s.mu.Unlock()
 	return nil
 }
 
@@ -523,7 +472,6 @@
 	s.mu.Lock()
 	s.segs = append(s.segs, g)
 	s.mu.Unlock()
-	s.writer.seg, s.writer.end = g, headSize
 	return nil
 }
 
@@ -560,16 +508,17 @@
 }
 
 // publish brings what has been written into force.
-func (s *Store) publish(g written) {
+func (s *Store) publish(g *segment) {
+	w := &s.writer
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range g.pending {
-		at := uint32(g.base) + uint32(p.at) + frameHead
+	for _, p := range w.pending {
+		at := uint32(g.size) + uint32(p.at) + frameHead
 		for _, c := range p.puts {
 			if c.n == 0 {
 				s.unset(c.key)
 			} else {
-				s.set(c.key, place{g.seg, at + uint32(c.off), uint32(c.n), p.versionOf(c)}, c.expires)
+				s.set(c.key, place{g, at + uint32(c.off), uint32(c.n), p.versionOf(c)}, c.expires)
 			}
 		}
 		for _, m := range p.c.forget {
@@ -580,11 +529,11 @@
 		s.stats.moved += uint64(p.c.moves())
 		s.dropped = max(s.dropped, p.c.drop)
 		s.feed.add(p.version, p.c.changes)
-		s.version = p.version
 	}
 	s.feed.wake()
-	s.stats.batches += uint64(len(g.pending))
-	g.seg.size = g.end
+	s.stats.batches += uint64(len(w.pending))
+	s.version = w.version
+	g.size += int64(len(w.buf))
 }
 
 func (c *commit) moves() int {
@@ -595,13 +544,14 @@
 }
 
 // answer tells those who wait.
-func answer(all []pending, err error) {
-	for i, p := range all {
+func (s *Store) answer(err error) {
+	w := &s.writer
+	for i, p := range w.pending {
 		if err != nil {
 			p.c.done <- result{err: err}
 		} else {
 			p.c.done <- result{version: p.version}
 		}
-		all[i] = pending{}
+		w.pending[i] = pending{}
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -121,20 +121,17 @@
 	feed    feed
 	stats   counters
 
-	synced  atomic.Uint64
 	clock   atomic.Int64 // Unix ms, the latest that was seen: time does not go back
 	queue   chan *commit
 	ask     chan compaction
 	closing chan struct{}
 	gone    chan struct{} // the committer has ended
-	handing chan written  // to the publisher, one at a time
-	handed  chan struct{} // it is done; of capacity 1
 	once    sync.Once
 	wg      sync.WaitGroup
 	writer  writer // the committer's alone
 }
 
-type counters struct{ batches, moved, compactions uint64 }
+type counters struct{ batches, synced, moved, compactions uint64 }
 
 // Open opens the store in a folder of files, or makes one there. What a crash left of a batch that was never acknowledged is
 // cut off. An error that is an ErrDamaged names file and offset, and nothing was changed.
@@ -143,7 +140,7 @@
 		return nil, err
 	}
 	s := &Store{o: o, fs: fs, index: btree.NewMap[string, place](64), expires: map[string]int64{}, queue: make(chan *commit, maxQueue),
-		ask: make(chan compaction), closing: make(chan struct{}), gone: make(chan struct{}), handing: make(chan written), handed: make(chan struct{}, 1)}
+		ask: make(chan compaction), closing: make(chan struct{}), gone: make(chan struct{})}
 	s.feed = newFeed(o.FeedBytes)
 	if !o.ReadOnly {
 		lock, err := fs.Lock("LOCK", o.Owner)
@@ -160,10 +157,7 @@
 		s.broken = ErrReadOnly
 		return s, nil
 	}
-	last := s.segs[len(s.segs)-1]
-	s.writer.version, s.writer.seg, s.writer.end = s.version, last, last.size
 	s.wg.Go(s.commits)
-	s.wg.Go(s.publishes)
 	s.wg.Go(s.compacts)
 	return s, nil
 }
@@ -383,7 +377,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	st := Stats{Version: s.version, Keys: s.index.Len(), Segments: len(s.segs), LiveBytes: s.live, Snapshots: s.snaps, Batches: s.stats.batches,
-		Syncs: s.synced.Load(), MovedBytes: s.stats.moved, Compactions: s.stats.compactions}
+		Syncs: s.stats.synced, MovedBytes: s.stats.moved, Compactions: s.stats.compactions}
 	for _, g := range s.segs {
 		st.Bytes += g.size
 	}
