Tenants: spaces of keys that no key leads out of; a test that compaction rests

Tenants are competitors on the same servers: none may reach another's keys, nor those of an earlier tenant of its name. A space puts name and generation ahead of a key, with a mark that neither can hold. Compaction's rest is counted and tested.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -131,8 +131,12 @@
 		if _, err := s.submit(c); err != nil {
 			return err
 		}
+		worked := time.Since(began)
+		s.worked.Add(int64(worked))
 		if gently {
-			rest(ctx, time.Since(began))
+			began = time.Now()
+			rest(ctx, worked)
+			s.rested.Add(int64(time.Since(began)))
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -121,6 +121,8 @@
 	feed    feed
 	stats   counters
 
+	worked  atomic.Int64 // ns for which compaction has moved,
+	rested  atomic.Int64 // and rested
 	clock   atomic.Int64 // Unix ms, the latest that was seen: time does not go back
 	queue   chan *commit
 	ask     chan compaction
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -285,6 +285,33 @@
 	}
 }
 
+// Compaction that nobody asked for rests for as long as it works, and moves what a writer waits for in small portions.
+func TestCompactionRests(t *testing.T) {
+	d := disk.New()
+	o := small
+	o.SegmentBytes = 1 << 20
+	s := open(t, d, o)
+	for i := range 300 {
+		put(t, s, fmt.Sprintf("k%03d", i), strings.Repeat("x", 10_000))
+	}
+	most := 0
+	d.Fault(func(_ int, c disk.Call) error {
+		if c.Op == "write" {
+			most = max(most, c.Bytes)
+		}
+		return nil
+	})
+	if err := s.compactOldest(t.Context(), true); err != nil {
+		t.Fatal(err)
+	}
+	if worked, rested := s.worked.Load(), s.rested.Load(); worked == 0 || rested < worked {
+		t.Errorf("%d ns of work, %d of rest", worked, rested)
+	}
+	if s.Stats().MovedBytes < 1<<19 || most > moveBytes+20_000 {
+		t.Errorf("%d bytes moved, %d at once", s.Stats().MovedBytes, most)
+	}
+}
+
 func TestKeysThatEnd(t *testing.T) {
 	d := disk.New()
 	now := time.UnixMilli(1_000_000)
--- /dev/null
+++ b/internal/tenant/space.go
@@ -0,0 +1,53 @@
+package tenant
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// MaxName is the longest name of a tenant, in bytes.
+const MaxName = 32
+
+// MaxPrefix is how many bytes of a server's key are not the tenant's own: its name, its generation and two marks.
+const MaxPrefix = MaxName + 1 + 7 + 1
+
+// Space is the part of the servers' keys that belongs to one tenant, of one generation. No bytes of a key lead out of it: what
+// stands ahead of a key has a mark at its end that neither names nor generations can hold, so none is the beginning of another's.
+type Space struct{ prefix string }
+
+// CheckName says what is wrong with a tenant's name: 1 to MaxName of a to z, 0 to 9 and -, none of them - at an end.
+func CheckName(name string) error {
+	if name == "" || len(name) > MaxName {
+		return fmt.Errorf("name: %d bytes: 1 to %d are right", len(name), MaxName)
+	}
+	for i, c := range []byte(name) {
+		if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' && i > 0 && i < len(name)-1) {
+			return fmt.Errorf("name: %q at byte %d: a to z, 0 to 9 and, inside, - are right", name[i:i+1], i)
+		}
+	}
+	return nil
+}
+
+// NewSpace is the space of a tenant. The generation tells it from earlier tenants of its name, whose keys may not be purged yet.
+func NewSpace(name string, generation uint32) (Space, error) {
+	if err := CheckName(name); err != nil {
+		return Space{}, err
+	}
+	return Space{name + "." + strconv.FormatUint(uint64(generation), 36) + ":"}, nil
+}
+
+// Key is a tenant's key as the servers know it. most is the longest key that they take, in bytes; an error tells how long the
+// tenant's may be.
+func (s Space) Key(key string, most int) (string, error) {
+	if key == "" || len(s.prefix)+len(key) > most {
+		return "", fmt.Errorf("key: %d bytes: 1 to %d are right", len(key), max(0, most-len(s.prefix)))
+	}
+	return s.prefix + key, nil
+}
+
+// Own is the tenant's key of a server's, or not ok where that is in another space.
+func (s Space) Own(serverKey string) (key string, ok bool) {
+	key, ok = strings.CutPrefix(serverKey, s.prefix)
+	return key, ok && key != "" && s.prefix != ""
+}
