--- a/internal/store/crash_test.go
+++ b/internal/store/crash_test.go
@@ -26,18 +26,24 @@
 	return map[string]disk.Keep{"none": disk.KeepNone, "all": disk.KeepAll, "half": disk.KeepHalf, "length": disk.KeepLength, "some": disk.KeepSome(uint64(seed)), "others": disk.KeepSome(uint64(seed) + 1000)}
 }
 
+// historyUntil is a disk whose power was lost at a call of the history, and what of that was acknowledged.
+func historyUntil(t testing.TB, call int) (d *disk.Disk, acked, maybe map[string]string) {
+	t.Helper()
+	d = disk.New()
+	d.LosePower(call)
+	acked, maybe = map[string]string{}, map[string]string{}
+	if s, err := Open(d, small); err == nil {
+		history(t, s, acked, maybe)
+		s.Close()
+	}
+	return d, acked, maybe
+}
+
 // Power is lost at every call of a history with new segments and compactions, and what was not synced is lost, torn, kept or
 // reordered: what was acknowledged is there, and a batch is there whole or not at all.
 func TestPowerLostAtEveryCall(t *testing.T) {
 	for n := 0; ; n++ {
-		d := disk.New()
-		d.LosePower(n)
-		acked, maybe := map[string]string{}, map[string]string{}
-		s, err := Open(d, small)
-		if err == nil {
-			history(t, s, acked, maybe)
-			s.Close()
-		}
+		d, acked, maybe := historyUntil(t, n)
 		for name, keep := range keeps(n) {
 			after := d.Restart(keep)
 			within(t, fmt.Sprintf("power lost at call %d, %s kept", n, name), content(t, open(t, after, small)), acked, maybe)
@@ -54,14 +60,7 @@
 func TestPowerLostInRecovery(t *testing.T) {
 	deepest := 0
 	for n := range 200 {
-		d := disk.New()
-		d.LosePower(n)
-		acked, maybe := map[string]string{}, map[string]string{}
-		s, err := Open(d, small)
-		if err == nil {
-			history(t, s, acked, maybe)
-			s.Close()
-		}
+		d, acked, maybe := historyUntil(t, n)
 		if len(d.Calls()) < n {
 			break
 		}
@@ -99,17 +98,10 @@
 // A process ends at any call and the machine goes on; then the power is lost. What was seen in between stays.
 func TestKilledAndThenPowerLost(t *testing.T) {
 	for n := 0; ; n++ {
-		d := disk.New()
-		d.LosePower(n)
-		acked, maybe := map[string]string{}, map[string]string{}
-		s, err := Open(d, small)
-		if err == nil {
-			history(t, s, acked, maybe)
-			s.Close()
-		}
+		d, acked, maybe := historyUntil(t, n)
 		calls := len(d.Calls())
 		d.Kill()
-		s, err = Open(d, small)
+		s, err := Open(d, small)
 		if err != nil {
 			t.Fatalf("ended at call %d: %v", n, err)
 		}
--- a/internal/store/tool.go
+++ b/internal/store/tool.go
@@ -15,14 +15,22 @@
 // ErrFaults is CheckTo's where there are faults, which are written.
 var ErrFaults = errors.New("the store is damaged")
 
-// existing is a folder that has a store, for reading.
-func existing(dir string) (*Store, error) {
+// mustExist says that a folder has a store: opening one that has none would make it.
+func mustExist(dir string) error {
 	names, err := fsys.Dir(dir).List()
 	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+		return fmt.Errorf("store: %w", err)
 	}
 	if !hasSegments(names) {
-		return nil, fmt.Errorf("store: %s: there is no store", dir)
+		return fmt.Errorf("store: %s: there is no store", dir)
+	}
+	return nil
+}
+
+// existing is a folder that has a store, for reading.
+func existing(dir string) (*Store, error) {
+	if err := mustExist(dir); err != nil {
+		return nil, err
 	}
 	return Open(fsys.Dir(dir), Options{ReadOnly: true})
 }
@@ -39,12 +47,8 @@
 // CheckTo reads a whole store and writes a line for each fault, or one that says that there is none. Another program may write
 // the store meanwhile.
 func CheckTo(w io.Writer, dir string) error {
-	names, err := fsys.Dir(dir).List()
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	if !hasSegments(names) {
-		return fmt.Errorf("store: %s: there is no store", dir)
+	if err := mustExist(dir); err != nil {
+		return err
 	}
 	faults, err := Check(fsys.Dir(dir))
 	for _, f := range faults {
@@ -101,12 +105,8 @@
 // CompactDir compacts a store that no program has open. With salvage a damaged one is opened with what can be read of it, and is
 // whole afterwards; each fault is written.
 func CompactDir(ctx context.Context, w io.Writer, dir string, salvage bool) error {
-	names, err := fsys.Dir(dir).List()
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	if !hasSegments(names) {
-		return fmt.Errorf("store: %s: there is no store", dir)
+	if err := mustExist(dir); err != nil {
+		return err
 	}
 	s, err := Open(fsys.Dir(dir), Options{NoCompact: true, Salvage: salvage, Report: func(f Fault) { fmt.Fprintln(w, f.Error()) }})
 	if err != nil {
