Store: wait after a compaction that failed, instead of reading a segment again

Found on reading the change again: with a full disk, or a value that can't be read, each look of compaction read the whole oldest segment anew, ten times a second, without end. It waits 10 s after a failure now; with the wait taken out its test fails.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	moveBytes  = 256 << 10              // of puts that are moved with one commit, with one more at most: what a writer may wait for
-	compactGap = 100 * time.Millisecond // between looks whether there is something to compact
-	sweepEvery = time.Minute            // between looks for keys whose time has ended
-	sweepMost  = 1000                   // of them that are deleted with one batch
+	moveBytes    = 256 << 10              // of puts that are moved with one commit, with one more at most: what a writer may wait for
+	compactGap   = 100 * time.Millisecond // between looks whether there is something to compact
+	compactRetry = 10 * time.Second       // after a failure
+	sweepEvery   = time.Minute            // between looks for keys whose time has ended
+	sweepMost    = 1000                   // of them that are deleted with one batch
 )
 
 // compaction is one that is asked for.
@@ -45,15 +46,28 @@
 				swept = time.Now()
 				s.sweep()
 			}
-			for !s.o.NoCompact && s.wants() && ctx.Err() == nil {
-				if s.compactOldest(ctx, true) != nil {
-					break // and again at the next look: it is a full disk, or the store is read-only or closed
-				}
+			if !s.o.NoCompact {
+				s.compactWanted(ctx, time.Now())
 			}
 		}
 	}
 }
 
+// compactWanted compacts while there is need. After a failure, as of a full disk or a value that can't be read, it leaves it for
+// a while: each try reads a whole segment.
+func (s *Store) compactWanted(ctx context.Context, now time.Time) {
+	if !s.compactFailed.IsZero() && now.Sub(s.compactFailed) < compactRetry {
+		return
+	}
+	s.compactFailed = time.Time{}
+	for s.wants() && ctx.Err() == nil {
+		if s.compactOldest(ctx, true) != nil {
+			s.compactFailed = now
+			return
+		}
+	}
+}
+
 // wants says whether more than half of the log is not needed, two segments aside. So the log has at most twice the bytes that
 // are needed and three segments, whatever is done, as long as compaction keeps up.
 func (s *Store) wants() bool {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -131,6 +131,8 @@
 	once    sync.Once
 	wg      sync.WaitGroup
 	writer  writer // the committer's alone
+
+	compactFailed time.Time // when a compaction failed last, and none was tried since; its goroutine's alone
 }
 
 type counters struct{ batches, synced, moved, compactions uint64 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -312,6 +313,38 @@
 	}
 }
 
+// A compaction that fails is not tried again at once, over and over: each try reads a whole segment.
+func TestCompactionThatFailsWaits(t *testing.T) {
+	d := disk.New()
+	s := open(t, d, small)
+	for i := range 40 {
+		put(t, s, fmt.Sprintf("k%02d", i%4), strings.Repeat("x", 10_000))
+	}
+	writes := 0
+	d.Fault(func(_ int, c disk.Call) error {
+		if c.Op == "write" {
+			writes++
+			return syscall.ENOSPC
+		}
+		return nil
+	})
+	now := time.Now()
+	s.compactWanted(t.Context(), now)
+	if writes == 0 || s.Stats().Compactions > 0 {
+		t.Fatalf("%d writes, %+v", writes, s.Stats())
+	}
+	before := writes
+	s.compactWanted(t.Context(), now.Add(compactRetry-1))
+	if writes != before {
+		t.Error("tried again at once")
+	}
+	d.Fault(nil)
+	s.compactWanted(t.Context(), now.Add(compactRetry))
+	if s.Stats().Compactions == 0 || s.wants() {
+		t.Errorf("with room again: %+v", s.Stats())
+	}
+}
+
 func TestKeysThatEnd(t *testing.T) {
 	d := disk.New()
 	now := time.UnixMilli(1_000_000)
