--- /dev/null
+++ b/internal/config/callers.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"slices"
+	"strings"
+
+	"mossproxy.example/mossproxy/internal/pure/caller"
+)
+
+// Callers is where a router learns who may call, and what it holds callers to.
+type Callers struct {
+	Book, Rights, Pepper, Bundle string // paths; no pepper: no secrets are taken; no bundle: no certificates
+	Policy                       caller.Policy
+	Remember                     int     // tokens
+	Share                        float64 // of one core that checking may take
+}
+
+// TLS is a pool's listener of its own for links with TLS, beside the plain one.
+type TLS struct {
+	Listen                    string
+	Certificate, Key, Tickets string // paths; no tickets: their keys are drawn
+	Clients                   string // none, may or required
+	Bundle                    string // path
+}
+
+// ClientChoices are what a listener can ask of client certificates.
+var ClientChoices = []string{"none", "may", "required"}
+
+type callersKeys struct {
+	Book      string   `toml:"book"`
+	Rights    string   `toml:"rights"`
+	Pepper    string   `toml:"pepper_file"`
+	Bundle    string   `toml:"client_bundle"`
+	Audiences []string `toml:"audiences"`
+	Skew      *float64 `toml:"skew_ms"`
+	Longest   *float64 `toml:"longest_token_s"`
+	StaleNew  *float64 `toml:"stale_new_s"`
+	StaleAll  *float64 `toml:"stale_all_s"`
+	Remember  *int     `toml:"remembered_tokens"`
+	Share     *float64 `toml:"checks_share"`
+}
+
+type tlsKeys struct {
+	Listen      string `toml:"listen"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Tickets     string `toml:"ticket_keys"`
+	Clients     string `toml:"clients"`
+}
+
+type logKeys struct {
+	Format string `toml:"format"`
+	Level  string `toml:"level"`
+}
+
+// Log is how the program's log is written.
+type Log struct {
+	JSON  bool
+	Level string // debug, info, warn or error
+}
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// log checks [log].
+func (c *checker) log() Log {
+	k := c.doc.Log
+	if k.Format != "" && k.Format != "text" && k.Format != "json" {
+		c.bad("log.format", "%.20q is no format; text and json are", k.Format)
+	}
+	if k.Level == "" {
+		k.Level = "info"
+	}
+	if !slices.Contains(levels, k.Level) {
+		c.bad("log.level", "%.20q is no level; %s are", k.Level, strings.Join(levels, ", "))
+	}
+	return Log{k.Format == "json", k.Level}
+}
+
+// callers checks [callers]; nil where no pool has callers.
+func (c *checker) callers() *Callers {
+	k := &c.doc.Callers
+	used := slices.ContainsFunc(c.doc.Pools, func(p poolKeys) bool { return p.Callers })
+	if !used {
+		if k.Book != "" {
+			c.bad("callers", "no pool has callers = true, so nobody is asked; set it, or take [callers] away")
+		}
+		return nil
+	}
+	out := &Callers{Remember: number(c, "callers.remembered_tokens", k.Remember, 16384, 16, 1<<20, " tokens"),
+		Share: number(c, "callers.checks_share", k.Share, 0.2, 0.01, 1, " of a core")}
+	second := func(key string, v *float64, def, hi float64) float64 {
+		return 1000 * number(c, key, v, def, 0, hi, " s")
+	}
+	out.Policy = caller.Policy{Audiences: k.Audiences, Skew: number(c, "callers.skew_ms", k.Skew, 30e3, 0, 600e3, " ms"),
+		Longest:  second("callers.longest_token_s", k.Longest, 3600, 30*86400),
+		StaleNew: second("callers.stale_new_s", k.StaleNew, 0, 365*86400), StaleAll: second("callers.stale_all_s", k.StaleAll, 0, 365*86400)}
+	for _, p := range []struct {
+		key, value string
+		needed     bool
+		to         *string
+	}{{"book", k.Book, true, &out.Book}, {"rights", k.Rights, true, &out.Rights}, {"pepper_file", k.Pepper, false, &out.Pepper},
+		{"client_bundle", k.Bundle, false, &out.Bundle}} {
+		if p.value == "" {
+			if p.needed {
+				c.bad("callers."+p.key, "missing; a pool has callers = true")
+			}
+			continue
+		}
+		*p.to = c.relative(p.value)
+	}
+	if len(k.Audiences) == 0 {
+		c.bad("callers.audiences", "missing; name what tokens for this router are meant for, or any token of the issuer would do here")
+	}
+	return out
+}
+
+// tls checks [pool.tls]; nil where there is none.
+func (c *checker) tls(at string, p *poolKeys, callers *Callers, addresses *[]string) *TLS {
+	k, in := p.TLS, at+".tls"
+	if k == (tlsKeys{}) {
+		return nil
+	}
+	c.listen(in+".listen", k.Listen, addresses)
+	if k.Certificate == "" || k.Key == "" {
+		c.bad(in+".certificate", "certificate and key are both needed")
+	}
+	if k.Clients == "" {
+		k.Clients = "none"
+	}
+	out := &TLS{Listen: k.Listen, Certificate: c.relative(k.Certificate), Key: c.relative(k.Key), Clients: k.Clients}
+	if k.Tickets != "" {
+		out.Tickets = c.relative(k.Tickets)
+	}
+	switch {
+	case !slices.Contains(ClientChoices, k.Clients):
+		c.bad(in+".clients", "%.20q is no choice; %s are", k.Clients, strings.Join(ClientChoices, ", "))
+	case k.Clients == "none":
+	case callers == nil || callers.Bundle == "":
+		c.bad(in+".clients", "certificates are asked for, and callers.client_bundle, to check them by, is missing")
+	default:
+		out.Bundle = callers.Bundle
+	}
+	return out
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -27,6 +27,9 @@
 	Name  string
 	Cores int
 	Pools []*Config
+	Log   Log
+	// Callers is where the pools learn who may call; nil = none of them asks.
+	Callers *Callers
 }
 
 // MaxFile is the longest configuration that is read, in bytes.
@@ -46,6 +49,8 @@
 	Tenants  []tenantKeys `toml:"tenant"`
 	Over     *float64     `toml:"over_share_worth"`
 	Pools    []poolKeys   `toml:"pool"`
+	Callers  callersKeys  `toml:"callers"`
+	Log      logKeys      `toml:"log"`
 	End      *struct{}    `toml:"end"`
 }
 
@@ -118,6 +123,8 @@
 
 	Protocol string   `toml:"protocol"`
 	RESP     respKeys `toml:"resp"`
+	Callers  bool     `toml:"callers"`
+	TLS      tlsKeys  `toml:"tls"`
 }
 
 type serversKeys struct {
@@ -231,6 +238,7 @@
 	}
 	c.name("name", doc.Name, &none)
 	out := &File{Name: doc.Name, Cores: number(c, "limits.cores", doc.Limits.Cores, 1, 1, maxCores, " cores")}
+	out.Log, out.Callers = c.log(), c.callers()
 	base := c.module()
 	base.Classes, base.Tenants = c.classes(), c.tenants()
 	memory := number(c, "limits.memory_mb", doc.Limits.Memory, 192, 16, 1<<20, " MB")
@@ -249,6 +257,10 @@
 	for i := range doc.Pools {
 		p := &doc.Pools[i]
 		cfg := c.pool(fmt.Sprintf("pool[%d]", i), p, base, &names, &addresses)
+		cfg.TLS = c.tls(fmt.Sprintf("pool[%d]", i), p, out.Callers, &addresses)
+		if p.Callers {
+			cfg.Callers = out.Callers
+		}
 		cfg.Name, cfg.Pool, cfg.SeedNumber, cfg.Cores = doc.Name, p.Name, seed, out.Cores
 		if len(doc.Pools) > 1 {
 			cfg.Name += "/" + p.Name
@@ -472,6 +484,8 @@
 	}
 	differs("name", f.Name != next.Name)
 	differs("limits.cores", f.Cores != next.Cores)
+	differs("log", f.Log != next.Log)
+	differs("callers", !reflect.DeepEqual(f.Callers, next.Callers))
 	if len(f.Pools) != len(next.Pools) {
 		return append(keys, "pool (their number)")
 	}
@@ -481,6 +495,8 @@
 		differs(at+"name", p.Name != q.Name)
 		differs("rules.drain_grace_ms", p.Grace != q.Grace)
 		differs(at+"listen", p.Listen != q.Listen)
+		differs(at+"callers", (p.Callers == nil) != (q.Callers == nil))
+		differs(at+"tls", !reflect.DeepEqual(p.TLS, q.TLS))
 		differs(at+"protocol or resp", !reflect.DeepEqual(p.RESP, q.RESP))
 		differs(at+"origin", p.Checked.Config.Aside != q.Checked.Config.Aside)
 		differs(at+"servers.discovery (another kind of source)", (p.Source.Path == "") != (q.Source.Path == ""))
--- a/internal/config/resp.go
+++ b/internal/config/resp.go
@@ -171,6 +171,9 @@
 	if len(k.Logins) == 0 && k.Tenant != "" {
 		tenant(in+".tenant", k.Tenant)
 	}
+	if p := len(k.Logins); p > 0 && c.callersOf(in) {
+		c.bad(in+".login", "logins and callers = true don't go together: the book of callers has the keys")
+	}
 	var users []string
 	for i, l := range k.Logins {
 		here := fmt.Sprintf("%s.login[%d]", in, i)
@@ -184,3 +187,13 @@
 		out.Logins = append(out.Logins, RESPLogin{l.User, [32]byte(sum), l.Tenant})
 	}
 }
+
+// callersOf says whether the pool of a key like pool[2].resp asks who calls.
+func (c *checker) callersOf(in string) bool {
+	for i, p := range c.doc.Pools {
+		if fmt.Sprintf("pool[%d].resp", i) == in {
+			return p.Callers
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/front/answers.go
@@ -0,0 +1,162 @@
+package front
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/engine"
+)
+
+// slot is the place of a command's answer among those of its connection.
+type slot struct {
+	engine.Ticket
+	c     *clientConn
+	text  []byte // guarded by c.mu, as the others
+	lane  int
+	ready bool
+}
+
+// push makes a place for the answer to a command that has come.
+func (c *clientConn) push(lane int) *slot {
+	sl := &slot{c: c, lane: lane}
+	c.mu.Lock()
+	c.queue = append(c.queue, sl)
+	c.mu.Unlock()
+	return sl
+}
+
+// answer gives the answer to a command. It does not block. On the engine's goroutine the answers of a batch of events go out
+// together.
+func (sl *slot) answer(text []byte, engines bool) {
+	c := sl.c
+	c.s.e.Queued.Add(len(text))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sl.lane > 0 {
+		defer c.changed.Broadcast()
+	}
+	if sl.text, sl.ready = text, true; c.broken {
+		c.s.e.Queued.Give(len(text))
+		return
+	}
+	switch {
+	case c.writing > 0 || c.flushes || !c.queue[0].ready:
+	case engines:
+		c.flushes = true
+		c.s.e.AtEnd(c.flushed)
+	default:
+		out, size := c.batch()
+		c.s.wg.Go(func() { c.write(out, size) })
+	}
+}
+
+// flush writes the answers that are there as far as that needs no waiting; a goroutine writes the rest.
+func (c *clientConn) flush() {
+	c.mu.Lock()
+	c.flushes = false
+	var out net.Buffers
+	size := 0
+	if !c.broken && c.writing == 0 && len(c.queue) > 0 && c.queue[0].ready {
+		out, size = c.batch()
+	}
+	c.mu.Unlock()
+	for len(out) > 0 {
+		if !c.quick(&out, size) {
+			c.s.wg.Go(func() { c.write(out, size) })
+			return
+		}
+		c.s.e.Queued.Give(size)
+		out, size = c.written(nil)
+	}
+}
+
+// maxQuick bounds the bytes that are written without a goroutine of their own.
+const maxQuick = 16 << 10
+
+// quickWrite is one write that does not wait, with what it needs kept: a closure for each would cost an allocation.
+type quickWrite struct {
+	text []byte
+	buf  []byte // for several answers in one write
+	n    int
+	do   func(fd uintptr) bool
+}
+
+func (q *quickWrite) write(fd uintptr) bool {
+	q.n, _ = syscall.Write(int(fd), q.text) // an error shows when the rest is written
+	return true
+}
+
+// quick writes what it can without waiting, leaves the rest in out, and says whether that is nothing.
+func (c *clientConn) quick(out *net.Buffers, size int) bool {
+	if c.raw == nil || size > maxQuick {
+		return false
+	}
+	q := &c.once
+	if q.text = (*out)[0]; len(*out) > 1 {
+		q.buf = q.buf[:0]
+		for _, b := range *out {
+			q.buf = append(q.buf, b...)
+		}
+		q.text = q.buf
+	}
+	q.n = 0
+	if err := c.raw.Write(q.do); err != nil {
+		return false
+	}
+	q.text = nil
+	if q.n = max(0, q.n); q.n >= size {
+		return true
+	}
+	for left := q.n; left > 0; {
+		n := min(left, len((*out)[0]))
+		if left -= n; n == len((*out)[0]) {
+			*out = (*out)[1:]
+		} else {
+			(*out)[0] = (*out)[0][n:]
+		}
+	}
+	return false
+}
+
+// batch takes the answers that are there off the queue, in the order of the commands. The caller holds mu.
+func (c *clientConn) batch() (out net.Buffers, size int) {
+	c.writing = 0
+	for len(c.queue) > 0 && c.queue[0].ready {
+		out, size = append(out, c.queue[0].text), size+len(c.queue[0].text)
+		c.queue, c.writing = c.queue[1:], c.writing+1
+	}
+	return out, size
+}
+
+// write writes answers until none is there.
+func (c *clientConn) write(out net.Buffers, size int) {
+	for len(out) > 0 {
+		c.SetWriteDeadline(time.Now().Add(answerTime))
+		_, err := out.WriteTo(c.Conn)
+		c.s.e.Queued.Give(size)
+		out, size = c.written(err)
+	}
+}
+
+// written books what has been written and returns what is next.
+func (c *clientConn) written(err error) (out net.Buffers, size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed.Broadcast()
+	if err != nil && !c.broken {
+		c.broken = true
+		c.Close() // which ends the reader too; it tells the loop
+	}
+	if c.broken {
+		c.writing = 0
+		return nil, 0
+	}
+	if out, size = c.batch(); c.open() == 0 {
+		c.queue = nil // and the answers that its array holds
+		if c.since = time.Now(); !c.closing {
+			c.SetReadDeadline(c.since.Add(c.s.proto.Idle()))
+		}
+	}
+	return out, size
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,233 @@
+package front
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/sock"
+)
+
+// clientConn is a client's connection. One goroutine reads commands; while there are answers to write, another writes
+// them in the order of the commands.
+type clientConn struct {
+	net.Conn
+	s       *Clients
+	session Session // set by meet, under mu
+	r       *bufio.Reader
+	counted atomic.Bool // among those that have asked
+
+	mu      sync.Mutex
+	changed sync.Cond // the queue got shorter
+	queue   []*slot   // whose answers are not being written yet
+	writing int       // answers that are
+	broken  bool      // nothing can be written any more
+	asked   bool      // a command has come
+	reading bool      // another has begun
+	closing bool      // ends as soon as nothing waits for its answer
+	since   time.Time // idle since, while nothing is open
+	flushes bool      // its answers are written at the end of the engine's batch
+
+	raw     syscall.RawConn // nil = it has none
+	once    quickWrite
+	flushed func() // flush, made once
+}
+
+// open counts the commands that are not answered. The caller holds mu.
+func (c *clientConn) open() int { return len(c.queue) + c.writing }
+
+// meet learns who is there: with TLS, by the handshake, which has the time of a first command. Until then nothing is taken.
+func (c *clientConn) meet() bool {
+	peer := Peer{From: c.RemoteAddr().String()}
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		if err := t.Handshake(); err != nil { // its deadline is the connection's
+			return false
+		}
+		state := t.ConnectionState()
+		peer.TLS = &state
+	}
+	session := c.s.proto.Session(peer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.session = session
+	return true
+}
+
+// withdrawn says whether the connection's caller has lost what it rests on.
+func (c *clientConn) withdrawn() bool {
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	return s != nil && s.Withdrawn()
+}
+
+// idle tells since when the connection has had no request open.
+func (c *clientConn) idle() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if since = c.since; !c.asked && time.Since(since) > askSoon { // else silent ones would drive out the usual clients
+		since = since.Add(-asksNothing)
+	}
+	return since, c.open() == 0 && !c.closing
+}
+
+// drain ends the connection once nothing waits for its answer and no command is coming.
+func (c *clientConn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing = true; !c.reading {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// drop ends the connection at once if no request is open: half a command is none.
+func (c *clientConn) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open() == 0 {
+		c.closing = true
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// begin tells that a command has begun. The first one's time has run since the connection came.
+func (c *clientConn) begin(first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading = true; !first || c.closing {
+		c.SetReadDeadline(time.Now().Add(commandTime))
+	}
+}
+
+// await sets the time for the next command: none while requests are open, as then the client's leaving is waited for.
+// It tells whether one is to be read.
+func (c *clientConn) await() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.asked = false, true
+	for c.open() >= maxPipelined && !c.broken {
+		c.changed.Wait()
+	}
+	switch {
+	case c.broken:
+		return false
+	case c.closing: // what has come already is answered
+		return c.r.Buffered() > 0
+	case c.open() > 0:
+		c.SetReadDeadline(time.Time{})
+	default:
+		c.SetReadDeadline(time.Now().Add(c.s.proto.Idle()))
+	}
+	return true
+}
+
+// read reads commands until the client leaves, is turned away for what it sent, or the connection's time is up.
+func (c *clientConn) read() (turnedAway bool) {
+	unknown := 0
+	for first := true; ; first = false {
+		_, err := c.r.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) && sock.Waiting(c.Conn) { // a command that crosses the end of the time
+			c.begin(false)
+			_, err = c.r.Peek(1)
+		}
+		if err != nil {
+			return c.unread(err)
+		}
+		c.begin(first)
+		cmd, err := c.session.Read(c.r, c.s.e, c.s.ready)
+		read := c.s.e.Now()
+		if err != nil {
+			text, ok := c.session.Malformed(err)
+			if !ok {
+				return c.unread(err)
+			}
+			cmd = Command{Text: text, End: true}
+		}
+		if cmd.Lane > 0 {
+			c.inTurn(cmd.Lane)
+		}
+		sl := c.push(cmd.Lane)
+		if cmd.Request == nil {
+			sl.answer(cmd.Text, false)
+		} else {
+			sl.Answer = func(q *engine.Request, a engine.Answer) {
+				text := []byte(nil)
+				if a.Result != engine.Gone {
+					text = cmd.Render(q, a)
+				}
+				sl.answer(text, true)
+			}
+			c.s.e.Post(func() { c.s.e.Arrive(cmd.Request, read, &sl.Ticket) })
+		}
+		if cmd.Unknown {
+			unknown++
+		}
+		if cmd.End || unknown == maxUnknown {
+			return true
+		}
+		if first {
+			c.s.crowd(c)
+		}
+		if !c.await() {
+			return c.unread(os.ErrDeadlineExceeded)
+		}
+	}
+}
+
+// unread ends the reading of a connection after an error. Where the client has not left, what was taken is answered.
+func (c *clientConn) unread(err error) (turnedAway bool) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mu.Lock()
+	open := c.queue
+	c.broken, c.queue = true, nil
+	for _, sl := range open {
+		if sl.ready {
+			c.s.e.Queued.Give(len(sl.text))
+		}
+	}
+	c.mu.Unlock()
+	for _, sl := range open {
+		c.s.e.Post(func() { c.s.e.Leave(&sl.Ticket) })
+	}
+	return false
+}
+
+// finish waits until all answers are out and closes the connection. A close with input unread would reset it, and might
+// destroy answers on their way: a client that was turned away sees the end of the answers first, and is read on for a
+// bounded time.
+func (c *clientConn) finish(turnedAway bool) {
+	c.mu.Lock()
+	for c.open() > 0 && !c.broken {
+		c.changed.Wait()
+	}
+	broken := c.broken
+	c.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && turnedAway && !broken && half.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(lingerTime))
+		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, lineSize)) //nolint:errcheck // it is unwanted
+	}
+	c.Close()
+}
+
+// onlyReader hides the methods by which a copy would do without the buffer it is given.
+type onlyReader struct{ io.Reader }
+
+// inTurn waits until no command of the same lane waits for its answer. Their deadlines bound the wait.
+func (c *clientConn) inTurn(lane int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.broken && slices.ContainsFunc(c.queue, func(sl *slot) bool { return sl.lane == lane && !sl.ready }) {
+		c.changed.Wait()
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,18 +6,14 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
-	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"mossproxy.example/mossproxy/internal/engine"
-	"mossproxy.example/mossproxy/internal/sock"
 )
 
 // Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
@@ -37,7 +33,7 @@
 
 // Protocol is what clients speak.
 type Protocol interface {
-	Session() Session
+	Session(Peer) Session
 	Idle() time.Duration // for the next command to begin
 	Drain()              // clients are to be sent elsewhere, where the protocol can
 }
@@ -49,6 +45,8 @@
 	Read(in *bufio.Reader, e *engine.Engine, ready func() bool) (Command, error)
 	// Malformed gives the answer to input that makes no sense; ok is false where the error is another.
 	Malformed(err error) (text []byte, ok bool)
+	// Withdrawn says whether what the connection's caller rests on has been taken back. It may be called from any goroutine.
+	Withdrawn() bool
 }
 
 // Command is one command of a client.
@@ -61,15 +59,6 @@
 	End     bool                                        // the connection ends behind the answer
 }
 
-// slot is the place of a command's answer among those of its connection.
-type slot struct {
-	engine.Ticket
-	c     *clientConn
-	text  []byte // guarded by c.mu, as the others
-	lane  int
-	ready bool
-}
-
 // Clients serves the connections of one listener.
 type Clients struct {
 	e        *engine.Engine
@@ -85,34 +74,6 @@
 	conns map[*clientConn]struct{}
 }
 
-// clientConn is a client's connection. One goroutine reads commands; while there are answers to write, another writes
-// them in the order of the commands.
-type clientConn struct {
-	net.Conn
-	s       *Clients
-	session Session
-	r       *bufio.Reader
-	counted atomic.Bool // among those that have asked
-
-	mu      sync.Mutex
-	changed sync.Cond // the queue got shorter
-	queue   []*slot   // whose answers are not being written yet
-	writing int       // answers that are
-	broken  bool      // nothing can be written any more
-	asked   bool      // a command has come
-	reading bool      // another has begun
-	closing bool      // ends as soon as nothing waits for its answer
-	since   time.Time // idle since, while nothing is open
-	flushes bool      // its answers are written at the end of the engine's batch
-
-	raw     syscall.RawConn // nil = it has none
-	once    quickWrite
-	flushed func() // flush, made once
-}
-
-// open counts the commands that are not answered. The caller holds mu.
-func (c *clientConn) open() int { return len(c.queue) + c.writing }
-
 // New serves the clients that come to ln, at most limit at once, once Start is called.
 func New(e *engine.Engine, proto Protocol, ln net.Listener, limit int) *Clients {
 	return &Clients{e: e, proto: proto, ln: ln, room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
@@ -190,7 +151,7 @@
 func (s *Clients) serve(nc net.Conn) {
 	r := s.readers.Get().(*bufio.Reader)
 	r.Reset(nc)
-	c := &clientConn{Conn: nc, s: s, session: s.proto.Session(), r: r, since: time.Now()}
+	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now()}
 	c.changed.L = &c.mu
 	c.flushed, c.once.do = c.flush, c.once.write
 	if sc, ok := nc.(syscall.Conn); ok {
@@ -201,8 +162,11 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.wg.Go(func() {
-		turnedAway := c.read()
-		c.finish(turnedAway)
+		if c.meet() {
+			c.finish(c.read())
+		} else {
+			c.Close()
+		}
 		if c.counted.Load() {
 			s.asked.Add(-1)
 		}
@@ -218,315 +182,24 @@
 	}
 }
 
-// idle tells since when the connection has had no request open.
-func (c *clientConn) idle() (since time.Time, idle bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if since = c.since; !c.asked && time.Since(since) > askSoon { // else silent ones would drive out the usual clients
-		since = since.Add(-asksNothing)
-	}
-	return since, c.open() == 0 && !c.closing
-}
-
-// drain ends the connection once nothing waits for its answer and no command is coming.
-func (c *clientConn) drain() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing = true; !c.reading {
-		c.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// drop ends the connection at once if no request is open: half a command is none.
-func (c *clientConn) drop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.open() == 0 {
-		c.closing = true
-		c.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// begin tells that a command has begun. The first one's time has run since the connection came.
-func (c *clientConn) begin(first bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.reading = true; !first || c.closing {
-		c.SetReadDeadline(time.Now().Add(commandTime))
-	}
-}
-
-// await sets the time for the next command: none while requests are open, as then the client's leaving is waited for.
-// It tells whether one is to be read.
-func (c *clientConn) await() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading, c.asked = false, true
-	for c.open() >= maxPipelined && !c.broken {
-		c.changed.Wait()
-	}
-	switch {
-	case c.broken:
-		return false
-	case c.closing: // what has come already is answered
-		return c.r.Buffered() > 0
-	case c.open() > 0:
-		c.SetReadDeadline(time.Time{})
-	default:
-		c.SetReadDeadline(time.Now().Add(c.s.proto.Idle()))
-	}
-	return true
-}
-
-// read reads commands until the client leaves, is turned away for what it sent, or the connection's time is up.
-func (c *clientConn) read() (turnedAway bool) {
-	unknown := 0
-	for first := true; ; first = false {
-		_, err := c.r.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && sock.Waiting(c.Conn) { // a command that crosses the end of the time
-			c.begin(false)
-			_, err = c.r.Peek(1)
-		}
-		if err != nil {
-			return c.unread(err)
-		}
-		c.begin(first)
-		cmd, err := c.session.Read(c.r, c.s.e, c.s.ready)
-		read := c.s.e.Now()
-		if err != nil {
-			text, ok := c.session.Malformed(err)
-			if !ok {
-				return c.unread(err)
-			}
-			cmd = Command{Text: text, End: true}
-		}
-		if cmd.Lane > 0 {
-			c.inTurn(cmd.Lane)
-		}
-		sl := c.push(cmd.Lane)
-		if cmd.Request == nil {
-			sl.answer(cmd.Text, false)
-		} else {
-			sl.Answer = func(q *engine.Request, a engine.Answer) {
-				text := []byte(nil)
-				if a.Result != engine.Gone {
-					text = cmd.Render(q, a)
-				}
-				sl.answer(text, true)
-			}
-			c.s.e.Post(func() { c.s.e.Arrive(cmd.Request, read, &sl.Ticket) })
-		}
-		if cmd.Unknown {
-			unknown++
-		}
-		if cmd.End || unknown == maxUnknown {
-			return true
-		}
-		if first {
-			c.s.crowd(c)
-		}
-		if !c.await() {
-			return c.unread(os.ErrDeadlineExceeded)
-		}
-	}
-}
-
-// unread ends the reading of a connection after an error. Where the client has not left, what was taken is answered.
-func (c *clientConn) unread(err error) (turnedAway bool) {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
-	}
-	c.mu.Lock()
-	open := c.queue
-	c.broken, c.queue = true, nil
-	for _, sl := range open {
-		if sl.ready {
-			c.s.e.Queued.Give(len(sl.text))
-		}
-	}
-	c.mu.Unlock()
-	for _, sl := range open {
-		c.s.e.Post(func() { c.s.e.Leave(&sl.Ticket) })
-	}
-	return false
-}
-
-// finish waits until all answers are out and closes the connection. A close with input unread would reset it, and might
-// destroy answers on their way: a client that was turned away sees the end of the answers first, and is read on for a
-// bounded time.
-func (c *clientConn) finish(turnedAway bool) {
-	c.mu.Lock()
-	for c.open() > 0 && !c.broken {
-		c.changed.Wait()
-	}
-	broken := c.broken
-	c.mu.Unlock()
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && turnedAway && !broken && half.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(lingerTime))
-		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, lineSize)) //nolint:errcheck // it is unwanted
-	}
-	c.Close()
-}
-
-// onlyReader hides the methods by which a copy would do without the buffer it is given.
-type onlyReader struct{ io.Reader }
-
-// inTurn waits until no command of the same lane waits for its answer. Their deadlines bound the wait.
-func (c *clientConn) inTurn(lane int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !c.broken && slices.ContainsFunc(c.queue, func(sl *slot) bool { return sl.lane == lane && !sl.ready }) {
-		c.changed.Wait()
-	}
-}
-
-// push makes a place for the answer to a command that has come.
-func (c *clientConn) push(lane int) *slot {
-	sl := &slot{c: c, lane: lane}
-	c.mu.Lock()
-	c.queue = append(c.queue, sl)
-	c.mu.Unlock()
-	return sl
-}
-
-// answer gives the answer to a command. It does not block. On the engine's goroutine the answers of a batch of events go out
-// together.
-func (sl *slot) answer(text []byte, engines bool) {
-	c := sl.c
-	c.s.e.Queued.Add(len(text))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if sl.lane > 0 {
-		defer c.changed.Broadcast()
-	}
-	if sl.text, sl.ready = text, true; c.broken {
-		c.s.e.Queued.Give(len(text))
-		return
-	}
-	switch {
-	case c.writing > 0 || c.flushes || !c.queue[0].ready:
-	case engines:
-		c.flushes = true
-		c.s.e.AtEnd(c.flushed)
-	default:
-		out, size := c.batch()
-		c.s.wg.Go(func() { c.write(out, size) })
-	}
-}
-
-// flush writes the answers that are there as far as that needs no waiting; a goroutine writes the rest.
-func (c *clientConn) flush() {
-	c.mu.Lock()
-	c.flushes = false
-	var out net.Buffers
-	size := 0
-	if !c.broken && c.writing == 0 && len(c.queue) > 0 && c.queue[0].ready {
-		out, size = c.batch()
-	}
-	c.mu.Unlock()
-	for len(out) > 0 {
-		if !c.quick(&out, size) {
-			c.s.wg.Go(func() { c.write(out, size) })
-			return
-		}
-		c.s.e.Queued.Give(size)
-		out, size = c.written(nil)
-	}
-}
-
-// maxQuick bounds the bytes that are written without a goroutine of their own.
-const maxQuick = 16 << 10
-
-// quickWrite is one write that does not wait, with what it needs kept: a closure for each would cost an allocation.
-type quickWrite struct {
-	text []byte
-	buf  []byte // for several answers in one write
-	n    int
-	do   func(fd uintptr) bool
-}
-
-func (q *quickWrite) write(fd uintptr) bool {
-	q.n, _ = syscall.Write(int(fd), q.text) // an error shows when the rest is written
-	return true
-}
+// ready says whether clients may be sent here: a list is held and the router goes on.
+func (s *Clients) ready() bool { return s.e.Ready() && !s.draining.Load() }
 
-// quick writes what it can without waiting, leaves the rest in out, and says whether that is nothing.
-func (c *clientConn) quick(out *net.Buffers, size int) bool {
-	if c.raw == nil || size > maxQuick {
-		return false
-	}
-	q := &c.once
-	if q.text = (*out)[0]; len(*out) > 1 {
-		q.buf = q.buf[:0]
-		for _, b := range *out {
-			q.buf = append(q.buf, b...)
-		}
-		q.text = q.buf
-	}
-	q.n = 0
-	if err := c.raw.Write(q.do); err != nil {
-		return false
-	}
-	q.text = nil
-	if q.n = max(0, q.n); q.n >= size {
-		return true
-	}
-	for left := q.n; left > 0; {
-		n := min(left, len((*out)[0]))
-		if left -= n; n == len((*out)[0]) {
-			*out = (*out)[1:]
-		} else {
-			(*out)[0] = (*out)[0][n:]
+// Recheck ends the connections whose caller rests on what has been taken back, once what they have asked is answered.
+func (s *Clients) Recheck() {
+	s.mu.Lock()
+	var over []*clientConn
+	for c := range s.conns {
+		if c.withdrawn() {
+			over = append(over, c)
 		}
 	}
-	return false
-}
-
-// batch takes the answers that are there off the queue, in the order of the commands. The caller holds mu.
-func (c *clientConn) batch() (out net.Buffers, size int) {
-	c.writing = 0
-	for len(c.queue) > 0 && c.queue[0].ready {
-		out, size = append(out, c.queue[0].text), size+len(c.queue[0].text)
-		c.queue, c.writing = c.queue[1:], c.writing+1
-	}
-	return out, size
-}
-
-// write writes answers until none is there.
-func (c *clientConn) write(out net.Buffers, size int) {
-	for len(out) > 0 {
-		c.SetWriteDeadline(time.Now().Add(answerTime))
-		_, err := out.WriteTo(c.Conn)
-		c.s.e.Queued.Give(size)
-		out, size = c.written(err)
-	}
-}
-
-// written books what has been written and returns what is next.
-func (c *clientConn) written(err error) (out net.Buffers, size int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.changed.Broadcast()
-	if err != nil && !c.broken {
-		c.broken = true
-		c.Close() // which ends the reader too; it tells the loop
-	}
-	if c.broken {
-		c.writing = 0
-		return nil, 0
-	}
-	if out, size = c.batch(); c.open() == 0 {
-		c.queue = nil // and the answers that its array holds
-		if c.since = time.Now(); !c.closing {
-			c.SetReadDeadline(c.since.Add(c.s.proto.Idle()))
-		}
+	s.mu.Unlock()
+	for _, c := range over {
+		c.drain()
 	}
-	return out, size
 }
 
-// ready says whether clients may be sent here: a list is held and the router goes on.
-func (s *Clients) ready() bool { return s.e.Ready() && !s.draining.Load() }
-
 // HandOn sends clients elsewhere from now on, where the protocol can; what they send all the same is served.
 func (s *Clients) HandOn() { s.proto.Drain() }
 
--- /dev/null
+++ b/internal/front/meta/callers.go
@@ -0,0 +1,111 @@
+package meta
+
+import (
+	"bufio"
+	"strings"
+
+	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/front"
+	"mossproxy.example/mossproxy/internal/proto/meta"
+	"mossproxy.example/mossproxy/internal/pure/caller"
+)
+
+// login is auth token TOKEN or auth key ID SECRET. One that fails leaves the connection as it was, and counts towards the few that a
+// client may get wrong.
+func (s session) login(words []string) front.Command {
+	why := caller.Malformed
+	switch {
+	case len(words) == 2 && words[0] == "token":
+		why = s.guest.Token(words[1])
+	case len(words) == 3 && words[0] == "key":
+		why = s.guest.Secret(words[1], []byte(words[2]))
+	}
+	if why != caller.None {
+		return front.Command{Text: meta.NotTaken(why.String(), 0), Unknown: true}
+	}
+	return front.Command{Text: []byte("HD\r\n")}
+}
+
+// known is a request on a pool that asks who calls. Until that is known nothing of it is looked at but where it ends. What it names is
+// its tenant's own from here on: key, id and idempotency key.
+func (s session) known(in *bufio.Reader, e *engine.Engine, cmd meta.Command) (front.Command, error) {
+	pass, why := s.caller(&cmd)
+	if why != caller.None {
+		return s.notTaken(in, &cmd, why, 0, provesNothing(why))
+	}
+	if cmd.Tenant != "" && cmd.Tenant != pass.Tenant.Name {
+		s.guest.Refuse(pass, caller.NoRight)
+		return s.notTaken(in, &cmd, caller.NoRight, 0, false)
+	}
+	access := caller.Read
+	if cmd.Verb == "ms" {
+		access = caller.Write
+	}
+	if again, why := s.guest.Allow(pass, cmd.Class, cmd.Key, access); why != caller.None {
+		return s.notTaken(in, &cmd, why, again, false)
+	}
+	key, err := s.p.Key(pass, cmd.Key)
+	if err != nil {
+		return s.pass(in, &cmd, front.Command{Text: meta.NotTaken(err.Error(), 0)})
+	}
+	id := cmd.ID
+	idem := cmd.Idem
+	if idem != "" {
+		idem = pass.Space.ID(idem, meta.MaxID)
+	}
+	cmd.Key, cmd.ID = key, pass.Space.ID(id, meta.MaxID)
+	cmd.Restate(pass.Tenant.Name, idem)
+	return s.request(in, e, cmd, func(q *engine.Request, a engine.Answer) []byte { return renderAs(id, q, a) })
+}
+
+// caller is who makes a request: whom its own token stands for, or the connection's caller.
+func (s session) caller(cmd *meta.Command) (*caller.Pass, caller.Reason) {
+	if cmd.Auth != "" {
+		return s.guest.Once(cmd.Auth)
+	}
+	return s.guest.Pass()
+}
+
+// provesNothing says whether a reason is that of somebody who has proven nothing. Few such commands are answered on a connection; those of
+// a caller that was known are answered all, as they were taken.
+func provesNothing(why caller.Reason) bool {
+	switch why {
+	case caller.NoCaller, caller.UnknownKey, caller.BadSignature, caller.BadAlgorithm, caller.Malformed, caller.TooLong, caller.Throttled:
+		return true
+	}
+	return false
+}
+
+// notTaken answers a request that is not taken.
+func (s session) notTaken(in *bufio.Reader, cmd *meta.Command, why caller.Reason, again float64, unknown bool) (front.Command, error) {
+	return s.pass(in, cmd, front.Command{Text: meta.NotTaken(why.String(), again), Unknown: unknown})
+}
+
+// pass passes over a command's value, so that the next one can be read.
+func (s session) pass(in *bufio.Reader, cmd *meta.Command, answer front.Command) (front.Command, error) {
+	if cmd.Verb == "ms" {
+		if _, err := meta.ReadValue(in, cmd.Length, true); err != nil {
+			return front.Command{}, err
+		}
+	}
+	return answer, nil
+}
+
+// renderAs is the final answer to a request that its client knows by another id.
+func renderAs(id string, q *engine.Request, a engine.Answer) []byte {
+	if a.Result == engine.Served && a.Content == nil {
+		if a.Absent {
+			return meta.Absent(id)
+		}
+		return meta.Served(q.Write, id, a.Body)
+	}
+	return render(q, a) // which names no id
+}
+
+// Login is the command by which a connection says who calls, by a token or, where there is an id, by that key's secret.
+func Login(id, credential string) string {
+	if id == "" {
+		return "auth token " + credential + "\r\n"
+	}
+	return strings.Join([]string{"auth key", id, credential}, " ") + "\r\n"
+}
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -10,16 +10,23 @@
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/front"
 	"mossproxy.example/mossproxy/internal/proto/meta"
+	"mossproxy.example/mossproxy/internal/pure/caller"
 )
 
 // Protocol is a front.Protocol.
 type Protocol struct {
 	// Owners gives the servers that may serve a key; nil = any may. Servers that own keys drop no repeats.
 	Owners func(key string, write bool) []uint32
+	// Callers settles who calls; nil = nobody is asked, and commands say all that there is to know.
+	Callers front.Callers
+	// Key is a caller's key as servers know it; an error says how long it may be.
+	Key func(p *caller.Pass, key string) (string, error)
 }
 
-// Session is the same for all connections: commands say all that there is to know.
-func (p Protocol) Session() front.Session { return session{p} }
+// Session is a client's connection.
+func (p Protocol) Session(peer front.Peer) front.Session {
+	return session{p, front.NewGuest(p.Callers, peer)}
+}
 
 // Idle is how long a connection may stand between two commands.
 func (Protocol) Idle() time.Duration { return 3 * time.Second }
@@ -27,7 +34,13 @@
 // Drain changes nothing: clients come through a front that sends them elsewhere.
 func (Protocol) Drain() {}
 
-type session struct{ p Protocol }
+type session struct {
+	p     Protocol
+	guest *front.Guest // nil = nobody is asked who calls
+}
+
+// Withdrawn is front.Session's.
+func (s session) Withdrawn() bool { return s.guest.Withdrawn() }
 
 // Malformed is the answer to input that makes no sense.
 func (session) Malformed(err error) ([]byte, bool) {
@@ -45,7 +58,14 @@
 	}
 	switch cmd.Verb {
 	case "mg", "ms":
-		return s.request(in, e, cmd)
+		if s.guest != nil {
+			return s.known(in, e, cmd)
+		}
+		return s.request(in, e, cmd, render)
+	case "auth":
+		if s.guest != nil {
+			return s.login(cmd.Words), nil
+		}
 	case "mn": // the router is used from MN on, so it must be able to serve
 		if ready() {
 			return front.Command{Text: []byte("MN\r\n")}, nil
@@ -57,8 +77,11 @@
 	return front.Command{Text: []byte("ERROR\r\n"), Unknown: true}, nil
 }
 
+// renderer gives the text of a request's final answer.
+type renderer func(*engine.Request, engine.Answer) []byte
+
 // request reads the rest of a request, and checks it against what this deployment takes.
-func (s session) request(in *bufio.Reader, e *engine.Engine, cmd meta.Command) (front.Command, error) {
+func (s session) request(in *bufio.Reader, e *engine.Engine, cmd meta.Command, render renderer) (front.Command, error) {
 	if err := s.check(e, &cmd); err != nil {
 		return front.Command{}, err
 	}
--- /dev/null
+++ b/internal/front/resp/callers.go
@@ -0,0 +1,66 @@
+package resp
+
+import (
+	"fmt"
+
+	"mossproxy.example/mossproxy/internal/front"
+	"mossproxy.example/mossproxy/internal/proto/resp"
+	"mossproxy.example/mossproxy/internal/pure/caller"
+)
+
+// tokenUser is the user of AUTH whose password is a token; any other is the id of a key, whose secret the password is.
+const tokenUser = "token"
+
+// maxKeyID bounds the part of a request's id that its idempotency key makes.
+const maxKeyID = 128
+
+// beforeLogin are the commands that a connection may send before its caller is known.
+var beforeLogin = map[string]bool{"AUTH": true, "HELLO": true, "PING": true, "QUIT": true}
+
+// known logs the connection in, or leaves it as it was.
+func (s *session) known(user, password []byte) caller.Reason {
+	if string(user) == tokenUser {
+		return s.guest.Token(string(password))
+	}
+	return s.guest.Secret(string(user), password)
+}
+
+// wrongBecause is the answer to a login that failed: the word that clients know, and the reason by its stable name.
+func wrongBecause(why caller.Reason) []byte {
+	return resp.AppendError(nil, "WRONGPASS invalid username-password pair or user is disabled: "+why.String())
+}
+
+// notIn is the answer to a command of a connection whose caller is not known, or no longer. Those of a connection that never had one
+// count towards the few that it may send.
+func notIn(why caller.Reason) front.Command {
+	if why == caller.NoCaller {
+		return front.Command{Text: resp.AppendError(nil, "NOAUTH Authentication required."), Unknown: true}
+	}
+	return front.Command{Text: resp.AppendError(nil, "NOAUTH Authentication required: "+why.String())}
+}
+
+// own gives a command's words with the caller's keys as servers know them, or the answer where the caller may not send it.
+func (s *session) own(pass *caller.Pass, c *spec, args [][]byte, class string) (out [][]byte, refused []byte) {
+	access := c.access(args)
+	out = append(make([][]byte, 0, len(args)), args...)
+	for _, i := range c.places(args) {
+		key := string(args[i])
+		if again, why := s.guest.Allow(pass, class, key, access); why != caller.None {
+			return nil, noPerm(why, again)
+		}
+		name, err := s.p.cfg.Key(pass, key)
+		if err != nil {
+			return nil, resp.AppendError(nil, "ERR "+err.Error())
+		}
+		out[i] = []byte(name)
+	}
+	return out, nil
+}
+
+// noPerm is the answer to a command that its caller may not send: it has not run.
+func noPerm(why caller.Reason, again float64) []byte {
+	if again >= 1 {
+		return resp.AppendError(nil, fmt.Sprintf("NOPERM %s, come again after %d ms", why, int64(again)))
+	}
+	return resp.AppendError(nil, "NOPERM "+why.String())
+}
--- a/internal/front/resp/commands.go
+++ b/internal/front/resp/commands.go
@@ -1,9 +1,11 @@
 package resp
 
 import (
+	"slices"
 	"strings"
 
 	"mossproxy.example/mossproxy/internal/proto/resp"
+	"mossproxy.example/mossproxy/internal/pure/caller"
 )
 
 // spec is what is known of a command: as COMMAND tells it, and how safe it is to repeat.
@@ -61,18 +63,43 @@
 	}
 }
 
-// keys are the places of a command's keys.
-func (c *spec) keys(args [][]byte) (out [][]byte) {
+// places are where the keys stand among a command's words.
+func (c *spec) places(args [][]byte) (out []int) {
 	last := c.last
 	if last < 0 {
 		last += len(args)
 	}
 	for i := c.first; i > 0 && i <= last && i < len(args); i += c.step {
+		out = append(out, i)
+	}
+	return out
+}
+
+// keys are a command's keys.
+func (c *spec) keys(args [][]byte) (out [][]byte) {
+	for _, i := range c.places(args) {
 		out = append(out, args[i])
 	}
 	return out
 }
 
+// access is what a command does with its keys. Some writes tell what was there, so they are reads too.
+func (c *spec) access(args [][]byte) caller.Access {
+	switch {
+	case !c.write:
+		return caller.Read
+	case slices.Contains([]string{"GETSET", "GETDEL", "GETEX", "INCR", "DECR", "INCRBY", "DECRBY", "INCRBYFLOAT"}, c.name):
+		return caller.ReadWrite
+	case c.name == "SET":
+		for _, a := range args[3:] {
+			if strings.EqualFold(string(a), "GET") {
+				return caller.ReadWrite
+			}
+		}
+	}
+	return caller.Write
+}
+
 // safe says whether a command with these words may run twice.
 func (c *spec) safe(args [][]byte) bool {
 	if c.name != "SET" {
--- a/internal/front/resp/local.go
+++ b/internal/front/resp/local.go
@@ -12,6 +12,7 @@
 	"crypto/sha1" //nolint:gosec // names of nodes, no secrets
 
 	"mossproxy.example/mossproxy/internal/proto/resp"
+	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/pure/slots"
 	"mossproxy.example/mossproxy/internal/pure/tier"
 )
@@ -53,6 +54,12 @@
 	case len(args) == 3:
 		user = args[1]
 	}
+	if s.guest != nil {
+		if why := s.known(user, password); why != caller.None {
+			return wrongBecause(why)
+		}
+		return resp.AppendSimple(nil, "OK")
+	}
 	if len(s.p.cfg.Logins) == 0 {
 		return resp.AppendError(nil, "ERR AUTH called without any password configured for the default user. Are you sure your configuration is correct?")
 	}
@@ -67,6 +74,10 @@
 // hello is HELLO [2|3 [AUTH user password] [SETNAME name]].
 func hello(s *session, args [][]byte) []byte {
 	proto, tenant, in, name := s.proto, s.tenant, s.in, s.name
+	if s.guest != nil {
+		_, why := s.guest.Pass()
+		in = why == caller.None
+	}
 	if len(args) > 1 {
 		n, err := strconv.Atoi(string(args[1]))
 		if err != nil || n < 2 || n > 3 {
@@ -77,7 +88,13 @@
 	for i := 2; i < len(args); i++ {
 		switch word := strings.ToUpper(string(args[i])); {
 		case word == "AUTH" && i+2 < len(args):
-			if len(s.p.cfg.Logins) > 0 {
+			switch {
+			case s.guest != nil:
+				if why := s.known(args[i+1], args[i+2]); why != caller.None {
+					return wrongBecause(why)
+				}
+				in = true
+			case len(s.p.cfg.Logins) > 0:
 				var ok bool
 				if tenant, ok = s.p.login(args[i+1], args[i+2]); !ok {
 					return wrongPass
@@ -98,6 +115,9 @@
 	if !in {
 		return resp.AppendError(nil, "NOAUTH HELLO must be called with the client already authenticated, otherwise the HELLO <proto> AUTH <user> <pass> option can be used to authenticate the client and select the RESP protocol version at the same time")
 	}
+	if s.guest != nil { // its pass says who it is, and whether it still does
+		in = true
+	}
 	s.proto, s.tenant, s.in, s.name = proto, tenant, in, name
 	b := resp.AppendMap(nil, 7, proto)
 	for _, kv := range [][2]string{{"server", "redis"}, {"version", version}, {"proto", ""}, {"id", ""}, {"mode", "cluster"}, {"role", "master"}, {"modules", ""}} {
--- a/internal/front/resp/peers_test.go
+++ b/internal/front/resp/peers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"mossproxy.example/mossproxy/internal/front"
 	"net"
 	"strings"
 	"sync"
@@ -145,7 +146,7 @@
 func TestState(t *testing.T) {
 	e := newEngine(t)
 	p := New(Config{Read: "r", Write: "w", Owners: owners, Logins: []Login{{User: "a"}}}, "127.0.0.1:1")
-	s := p.Session().(*session)
+	s := p.Session(front.Peer{}).(*session)
 	if got, _ := read(t, s, e, "yoke", "state"); got != "+serving" {
 		t.Errorf("%q", got)
 	}
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -17,6 +17,7 @@
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/front"
 	"mossproxy.example/mossproxy/internal/proto/resp"
+	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/pure/slots"
 )
 
@@ -43,6 +44,9 @@
 	Peers       []string // addresses of the routers of the tier, by number; empty = this one alone
 	Me          int
 	Owners      func(slot int, write bool) []uint32 // who may serve a slot
+	Callers     front.Callers                       // settles who calls, by AUTH, HELLO or certificate; nil = Logins say
+	// Key is a caller's key as servers know it, in the slot that the caller's own key has.
+	Key func(p *caller.Pass, key string) (string, error)
 }
 
 // Protocol is a front.Protocol.
@@ -70,10 +74,13 @@
 }
 
 // Session is a client's connection.
-func (p *Protocol) Session() front.Session {
-	return &session{p: p, id: p.ids.Add(1), proto: 2, tenant: p.cfg.Tenant, in: len(p.cfg.Logins) == 0}
+func (p *Protocol) Session(peer front.Peer) front.Session {
+	return &session{p: p, id: p.ids.Add(1), proto: 2, tenant: p.cfg.Tenant, in: len(p.cfg.Logins) == 0, guest: front.NewGuest(p.cfg.Callers, peer)}
 }
 
+// Withdrawn is front.Session's.
+func (s *session) Withdrawn() bool { return s.guest.Withdrawn() }
+
 // session is what one connection has set. Only its reader uses it.
 type session struct {
 	p      *Protocol
@@ -84,6 +91,7 @@
 	in     bool // logged in, or nobody has to
 	asking bool // the next command may be for a slot of another router
 	name   []byte
+	guest  *front.Guest // nil = nobody is asked who calls beyond Logins
 }
 
 // Malformed is the answer to input that makes no sense.
@@ -160,6 +168,15 @@
 		return front.Command{Text: resp.AppendError(nil, fmt.Sprintf("ERR unknown command '%.40s'", printable(args[0])))}, nil
 	case c.arity >= 0 && len(args) != c.arity, len(args) < -c.arity, c.step == 2 && len(args)%2 == 0:
 		return text(resp.AppendError(nil, "ERR wrong number of arguments for '"+strings.ToLower(name)+"' command")), nil
+	}
+	var pass *caller.Pass
+	if s.guest != nil {
+		var why caller.Reason
+		if pass, why = s.guest.Pass(); why != caller.None && !beforeLogin[name] {
+			return notIn(why), nil
+		}
+	}
+	switch {
 	case !s.in && name != "AUTH" && name != "HELLO" && name != "QUIT":
 		return text(resp.AppendError(nil, "NOAUTH Authentication required.")), nil
 	case c.local != nil:
@@ -177,7 +194,7 @@
 	if to := s.p.elsewhere(slot, asking); to != "" {
 		return text(resp.AppendError(nil, to)), nil
 	}
-	return s.request(e, c, args, keys, slot, f), nil
+	return s.request(e, c, args, keys, slot, f, pass), nil
 }
 
 // printable keeps what a client has sent from breaking a line.
@@ -211,7 +228,7 @@
 }
 
 // request makes a request of a command. What is kept of it is one copy of its words.
-func (s *session) request(e *engine.Engine, c *spec, args, keys [][]byte, slot int, f facts) front.Command {
+func (s *session) request(e *engine.Engine, c *spec, args, keys [][]byte, slot int, f facts, pass *caller.Pass) front.Command {
 	name := s.class(c, keys[0], f)
 	class, ok := e.Class(name)
 	switch {
@@ -220,6 +237,14 @@
 	case class.Effect == decide.Repeatable && !c.safe(args):
 		return text(resp.AppendError(nil, fmt.Sprintf("ERR class %s may run twice, and %s must not: name another class for it", class.Name, c.name)))
 	}
+	tenant := s.tenant
+	if pass != nil {
+		var refused []byte
+		if args, refused = s.own(pass, c, args, class.Name); refused != nil {
+			return text(refused)
+		}
+		keys, tenant = c.keys(args), pass.Tenant.Name
+	}
 	size := 0
 	for _, a := range args {
 		size += len(a)
@@ -232,11 +257,14 @@
 		deadline = min(deadline, f.deadline)
 	}
 	id := "resp " + strconv.FormatUint(s.p.ids.Add(1), 16)
-	if f.key != "" {
+	switch {
+	case f.key != "" && pass != nil:
+		id = "resp k " + pass.Space.ID(f.key, maxKeyID)
+	case f.key != "":
 		id = "resp k " + s.tenant + " " + f.key
 	}
 	proto := s.proto
-	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: id, Class: class.Name, Tenant: s.tenant,
+	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: id, Class: class.Name, Tenant: tenant,
 		Key: string(keys[0]), Held: size, Wait: deadline, Write: c.write, Owners: s.p.cfg.Owners(slot, c.write), Words: clone(args, size)},
 		Render: func(q *engine.Request, a engine.Answer) []byte { return render(a, proto) }}
 }
--- a/internal/front/resp/resp_test.go
+++ b/internal/front/resp/resp_test.go
@@ -17,6 +17,7 @@
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/front"
 	"mossproxy.example/mossproxy/internal/proto/resp"
 	"mossproxy.example/mossproxy/internal/standin/standintest"
 )
@@ -45,7 +46,7 @@
 }
 
 func answerAll(c net.Conn, p *Protocol, answer string, incrs *atomic.Int64) {
-	s := p.Session().(*session)
+	s := p.Session(front.Peer{}).(*session)
 	r := resp.NewReader(bufio.NewReaderSize(c, resp.MaxLine))
 	for r.ReadCommand(&s.cmd) == nil {
 		name := strings.ToUpper(string(s.cmd.Args[0]))
@@ -135,7 +136,7 @@
 func TestClasses(t *testing.T) {
 	e := newEngine(t)
 	p := New(Config{Read: "r", Write: "w", Owners: owners, Tenant: "t", Rules: []Rule{{Commands: []string{"SET", "MSET"}, Prefix: "st:", Class: "r"}}}, "127.0.0.1:1")
-	s := p.Session().(*session)
+	s := p.Session(front.Peer{}).(*session)
 	for _, c := range []struct {
 		words, class string
 		deadline     float64
@@ -162,7 +163,7 @@
 // The words of a request are its own: the next command uses the reader's memory again.
 func TestWordsAreKept(t *testing.T) {
 	e := newEngine(t)
-	s := New(Config{Read: "r", Write: "w", Owners: owners}, "127.0.0.1:1").Session().(*session)
+	s := New(Config{Read: "r", Write: "w", Owners: owners}, "127.0.0.1:1").Session(front.Peer{}).(*session)
 	_, q := read(t, s, e, "SET", "key-one", "value-one")
 	read(t, s, e, "SET", "key-two", "value-two")
 	if got := fmt.Sprintf("%s", q.Words); got != "[SET key-one value-one]" {
@@ -173,7 +174,7 @@
 // Beyond the memory that is there, commands are refused.
 func TestNoRoom(t *testing.T) {
 	e := newEngine(t)
-	s := New(Config{Read: "r", Write: "w", Owners: owners}, "127.0.0.1:1").Session().(*session)
+	s := New(Config{Read: "r", Write: "w", Owners: owners}, "127.0.0.1:1").Session(front.Peer{}).(*session)
 	value := strings.Repeat("v", resp.MaxBulk)
 	taken := 0
 	for {
@@ -195,7 +196,7 @@
 	e := newEngine(f)
 	p := New(Config{Read: "r", Write: "w", Owners: owners, Logins: []Login{{User: "a"}}}, "127.0.0.1:1")
 	f.Fuzz(func(t *testing.T, in []byte) {
-		s := p.Session().(*session)
+		s := p.Session(front.Peer{}).(*session)
 		s.in = true
 		r := bufio.NewReaderSize(bytes.NewReader(in), resp.MaxLine)
 		for range 1000 {
--- /dev/null
+++ b/internal/identity/token.go
@@ -0,0 +1,177 @@
+// Package identity proves who is on a link: signed tokens, secrets and client certificates, by keys that change in service. What a
+// proof is worth is settled by package caller, which does no input or output; this package checks signatures and chains, remembers
+// what it has checked, and keeps the audit.
+package identity
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/elliptic"
+	"crypto/sha256"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/go-jose/go-jose/v4"
+	"github.com/go-jose/go-jose/v4/jwt"
+
+	"mossproxy.example/mossproxy/internal/pure/caller"
+)
+
+// MaxToken is the longest token that is looked at, in bytes: a line of the meta dialect holds it with a request.
+const MaxToken = 3 << 10
+
+// algorithms are those that tokens may have. Neither none nor any that checks by a shared secret is among them, so a public key
+// can't be passed off as one.
+var algorithms = []jose.SignatureAlgorithm{jose.EdDSA, jose.ES256}
+
+// token is one that was read and not checked yet.
+type token struct {
+	*jwt.JSONWebToken
+	kid string
+	alg string
+}
+
+// readToken reads a token without believing it.
+func readToken(text string) (token, caller.Reason) {
+	if len(text) > MaxToken {
+		return token{}, caller.TooLong
+	}
+	t, err := jwt.ParseSigned(text, algorithms)
+	var alg *jose.ErrUnexpectedSignatureAlgorithm
+	switch {
+	case errors.As(err, &alg):
+		return token{}, caller.BadAlgorithm
+	case err != nil || len(t.Headers) != 1:
+		return token{}, caller.Malformed
+	}
+	return token{t, t.Headers[0].KeyID, t.Headers[0].Algorithm}, caller.None
+}
+
+// check checks a token's signature by a key of the book, and gives what it says. The algorithm is the key's.
+func (t token) check(k *caller.Key, public crypto.PublicKey) (caller.Claims, caller.Reason) {
+	if t.alg != string(k.Algorithm) {
+		return caller.Claims{}, caller.BadAlgorithm
+	}
+	var c jwt.Claims
+	if err := t.Claims(public, &c); err != nil {
+		if errors.Is(err, jose.ErrCryptoFailure) {
+			return caller.Claims{}, caller.BadSignature
+		}
+		return caller.Claims{}, caller.Malformed // signed, and no claims
+	}
+	ms := func(d *jwt.NumericDate) float64 {
+		if d == nil {
+			return 0
+		}
+		return float64(*d) * 1000
+	}
+	return caller.Claims{Key: k.ID, Material: k.Material, Issuer: c.Issuer, Subject: c.Subject, Audience: c.Audience, Issued: ms(c.IssuedAt),
+		From: ms(c.NotBefore), Until: ms(c.Expiry)}, caller.None
+}
+
+// publicKey reads a key of the book.
+func publicKey(k *caller.Key) (crypto.PublicKey, error) {
+	p, err := x509.ParsePKIXPublicKey(k.Public)
+	if err != nil {
+		return nil, fmt.Errorf("key %s: %w", k.ID, err)
+	}
+	if alg, err := algorithmOf(p); err != nil || alg != k.Algorithm {
+		return nil, fmt.Errorf("key %s: its public key is none of algorithm %s", k.ID, k.Algorithm)
+	}
+	return p, nil
+}
+
+// algorithmOf is the algorithm that a public key checks by.
+func algorithmOf(p crypto.PublicKey) (caller.Algorithm, error) {
+	switch p := p.(type) {
+	case ed25519.PublicKey:
+		return caller.EdDSA, nil
+	case *ecdsa.PublicKey:
+		if p.Curve == elliptic.P256() {
+			return caller.ES256, nil
+		}
+		return "", fmt.Errorf("curve %s: P-256 is taken", p.Curve.Params().Name)
+	}
+	return "", fmt.Errorf("%T: Ed25519 and ECDSA keys of P-256 are taken", p)
+}
+
+// Bounds of a set of keys.
+const (
+	MaxJWKS     = 256 << 10 // bytes
+	maxJWKSKeys = 256
+)
+
+// ReadJWKS reads a set of public keys (RFC 7517) whole: one key that can't be used makes all of it a fault, as half a rotation
+// helps nobody. The keys have no life yet.
+func ReadJWKS(text []byte, issuer string) ([]caller.Key, error) {
+	if len(text) > MaxJWKS {
+		return nil, fmt.Errorf("over %d bytes", MaxJWKS)
+	}
+	var set struct {
+		Keys []json.RawMessage `json:"keys"`
+	}
+	if err := json.Unmarshal(text, &set); err != nil {
+		return nil, fmt.Errorf("no JWKS: %w", err)
+	}
+	if len(set.Keys) == 0 || len(set.Keys) > maxJWKSKeys {
+		return nil, fmt.Errorf("%d keys; 1 to %d are right", len(set.Keys), maxJWKSKeys)
+	}
+	ids := map[string]bool{}
+	var out []caller.Key
+	for i, raw := range set.Keys {
+		k, err := ReadJWK(raw, issuer)
+		if err != nil {
+			return nil, fmt.Errorf("keys[%d]: %w", i, err)
+		}
+		if ids[k.ID] {
+			return nil, fmt.Errorf("keys[%d]: id %.60q is there twice", i, k.ID)
+		}
+		ids[k.ID] = true
+		out = append(out, k)
+	}
+	return out, nil
+}
+
+// ReadJWK reads one public key (RFC 7517).
+func ReadJWK(text []byte, issuer string) (caller.Key, error) {
+	var k jose.JSONWebKey
+	if err := json.Unmarshal(text, &k); err != nil {
+		return caller.Key{}, fmt.Errorf("no JWK: %w", err)
+	}
+	switch {
+	case !k.IsPublic():
+		return caller.Key{}, errors.New("a private key, which belongs to its issuer alone: replace it, it has been shown")
+	case k.KeyID == "":
+		return caller.Key{}, errors.New("no kid")
+	case k.Use != "" && k.Use != "sig":
+		return caller.Key{}, fmt.Errorf("use %.20q: sig is right", k.Use)
+	}
+	alg, err := algorithmOf(k.Key)
+	if err != nil {
+		return caller.Key{}, err
+	}
+	if k.Algorithm != "" && k.Algorithm != string(alg) {
+		return caller.Key{}, fmt.Errorf("alg %.20q, and the key is one of %s", k.Algorithm, alg)
+	}
+	der, err := x509.MarshalPKIXPublicKey(k.Key)
+	if err != nil {
+		return caller.Key{}, fmt.Errorf("public key: %w", err)
+	}
+	return caller.Key{ID: k.KeyID, Algorithm: alg, Issuer: issuer, Public: der, Material: sha256.Sum256(der)}, nil
+}
+
+// WriteJWK gives a key of the book as a JWK.
+func WriteJWK(k *caller.Key) (string, error) {
+	p, err := publicKey(k)
+	if err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(jose.JSONWebKey{Key: p, KeyID: k.ID, Algorithm: string(k.Algorithm), Use: "sig"})
+	if err != nil {
+		return "", fmt.Errorf("key %s: %w", k.ID, err)
+	}
+	return string(text), nil
+}
--- /dev/null
+++ b/internal/keybook/file.go
@@ -0,0 +1,238 @@
+// Package keybook keeps the book of callers: tenants, callers and keys, in a file that routers follow and in a store in which
+// commands change it. The store is the authority, with versions and an audit record of each change; the file is what it exports,
+// whole, or what an operator writes by hand where there is no store.
+package keybook
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"mossproxy.example/mossproxy/internal/identity"
+	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/tomlfile"
+)
+
+// MaxFile is the longest book that is read, in bytes: 10,000 keys and 10,000 callers take half of it.
+const MaxFile = 16 << 20
+
+// Book is what a book file holds.
+type Book struct {
+	Version uint64
+	Issued  time.Time // when it was known to be in force; zero = it does not say
+	Keys    []caller.Key
+	Tenants []caller.Tenant
+	Callers []caller.Principal
+}
+
+// document mirrors the file. docs/operate/callers.md explains each key.
+type document struct {
+	Version uint64      `toml:"version"`
+	Issued  *time.Time  `toml:"issued,omitempty"`
+	Tenants []tenantRow `toml:"tenant,omitempty"`
+	Callers []callerRow `toml:"caller,omitempty"`
+	Keys    []keyRow    `toml:"key,omitempty"`
+	End     *struct{}   `toml:"end"`
+}
+
+type tenantRow struct {
+	Name       string `toml:"name" json:"name"`
+	Generation uint32 `toml:"generation,omitempty" json:"generation"`
+	Suspended  bool   `toml:"suspended,omitempty" json:"suspended,omitempty"`
+}
+
+type callerRow struct {
+	Name         string   `toml:"name" json:"name"`
+	Tenant       string   `toml:"tenant" json:"tenant"`
+	Roles        []string `toml:"roles" json:"roles"`
+	Subjects     []string `toml:"subjects,omitempty" json:"subjects,omitempty"` // ISSUER SUBJECT
+	Certificates []string `toml:"certificates,omitempty" json:"certificates,omitempty"`
+}
+
+type keyRow struct {
+	ID        string     `toml:"id" json:"id"`
+	Algorithm string     `toml:"algorithm,omitempty" json:"algorithm"`
+	Issuer    string     `toml:"issuer,omitempty" json:"issuer,omitempty"`
+	JWK       string     `toml:"jwk,omitempty" json:"jwk,omitempty"`
+	Caller    string     `toml:"caller,omitempty" json:"caller,omitempty"`
+	Hash      string     `toml:"secret_hash,omitempty" json:"secret_hash,omitempty"`
+	Active    *time.Time `toml:"active,omitempty" json:"active,omitempty"`
+	Retiring  *time.Time `toml:"retiring,omitempty" json:"retiring,omitempty"`
+	Retired   *time.Time `toml:"retired,omitempty" json:"retired,omitempty"`
+	Revoked   *time.Time `toml:"revoked,omitempty" json:"revoked,omitempty"`
+}
+
+// mark is the last line of a whole file: one that was cut short, also where what is there would parse, lacks it.
+var mark = regexp.MustCompile(`(?m)^\s*\[end\]\s*(#.*)?\s*\z`)
+
+// Parse reads a book file whole. What it says is checked against itself by caller.NewBook.
+func Parse(path string, text []byte) (*Book, error) {
+	if len(text) > MaxFile {
+		return nil, tomlfile.Faults{{File: path, What: fmt.Sprintf("over %d bytes", MaxFile)}}
+	}
+	var doc document
+	d, faults := tomlfile.Decode(path, text, &doc)
+	if faults != nil {
+		return nil, faults
+	}
+	if !mark.Match(text) {
+		return nil, tomlfile.Faults{d.Fault("", "the last line is missing, so the file may be cut short; if it is whole, add as its last line: [end]")}
+	}
+	b := &Book{Version: doc.Version}
+	if doc.Issued != nil {
+		b.Issued = *doc.Issued
+	}
+	for _, t := range doc.Tenants {
+		b.Tenants = append(b.Tenants, t.tenant())
+	}
+	for i, c := range doc.Callers {
+		p, err := c.principal()
+		if err != nil {
+			faults = append(faults, d.Fault(fmt.Sprintf("caller[%d].subjects", i), "%v", err))
+		}
+		b.Callers = append(b.Callers, p)
+	}
+	for i, k := range doc.Keys {
+		key, at, err := k.key()
+		if err != nil {
+			faults = append(faults, d.Fault(fmt.Sprintf("key[%d].%s", i, at), "%v", err))
+		}
+		b.Keys = append(b.Keys, key)
+	}
+	return b, faults.Err()
+}
+
+// Faults gives faults of a book's contents the lines of the file that they came from.
+func Faults(path string, text []byte, of []caller.Fault) error {
+	if len(of) == 0 {
+		return nil
+	}
+	var doc document
+	d, faults := tomlfile.Decode(path, text, &doc)
+	if faults != nil {
+		return faults
+	}
+	var out tomlfile.Faults
+	for _, f := range of {
+		out = append(out, d.Fault(f.At, "%s", f.What))
+	}
+	return out
+}
+
+// Text is a book as a file.
+func (b *Book) Text() ([]byte, error) {
+	doc := document{Version: b.Version}
+	if !b.Issued.IsZero() {
+		at := b.Issued.UTC()
+		doc.Issued = &at
+	}
+	for _, t := range b.Tenants {
+		doc.Tenants = append(doc.Tenants, tenantRow(t))
+	}
+	for _, c := range b.Callers {
+		doc.Callers = append(doc.Callers, rowOf(c))
+	}
+	for i := range b.Keys {
+		row, err := keyRowOf(&b.Keys[i])
+		if err != nil {
+			return nil, err
+		}
+		doc.Keys = append(doc.Keys, row)
+	}
+	var out bytes.Buffer
+	out.WriteString("# The book of callers. Written whole by cottonyoke; routers take it whole or not at all.\n")
+	if err := toml.NewEncoder(&out).Encode(doc); err != nil {
+		return nil, fmt.Errorf("book: %w", err)
+	}
+	out.WriteString("\n[end]\n")
+	return out.Bytes(), nil
+}
+
+func (t tenantRow) tenant() caller.Tenant { return caller.Tenant(t) }
+
+func (c callerRow) principal() (caller.Principal, error) {
+	p := caller.Principal{Name: c.Name, Tenant: c.Tenant, Roles: c.Roles, Certificates: c.Certificates}
+	for _, s := range c.Subjects {
+		issuer, name, ok := strings.Cut(s, " ")
+		if !ok || issuer == "" || name == "" || strings.Contains(name, " ") {
+			return p, fmt.Errorf("%.60q is no subject; ISSUER and SUBJECT with a blank between them are", s)
+		}
+		p.Subjects = append(p.Subjects, caller.Subject{Issuer: issuer, Name: name})
+	}
+	return p, nil
+}
+
+func rowOf(p caller.Principal) callerRow {
+	c := callerRow{Name: p.Name, Tenant: p.Tenant, Roles: p.Roles, Certificates: p.Certificates}
+	for _, s := range p.Subjects {
+		c.Subjects = append(c.Subjects, s.Issuer+" "+s.Name)
+	}
+	return c
+}
+
+// key gives the key of a row; an error goes with the name of the field that is wrong.
+func (r keyRow) key() (caller.Key, string, error) {
+	k := caller.Key{ID: r.ID, Algorithm: caller.Algorithm(r.Algorithm), Issuer: r.Issuer, Caller: r.Caller,
+		Life: caller.Life{Active: ms(r.Active), Retiring: ms(r.Retiring), Retired: ms(r.Retired), Revoked: ms(r.Revoked)}}
+	switch {
+	case r.JWK != "" && r.Hash != "":
+		return k, "jwk", fmt.Errorf("stands beside secret_hash; a key is the one or the other")
+	case r.JWK != "":
+		j, err := identity.ReadJWK([]byte(r.JWK), r.Issuer)
+		if err != nil {
+			return k, "jwk", err
+		}
+		if j.ID != r.ID {
+			return k, "jwk", fmt.Errorf("its kid is %.60q, and the key's id is %.60q", j.ID, r.ID)
+		}
+		if k.Algorithm == "" {
+			k.Algorithm = j.Algorithm
+		}
+		if k.Algorithm != j.Algorithm {
+			return k, "algorithm", fmt.Errorf("%.20q, and the public key is one of %s", r.Algorithm, j.Algorithm)
+		}
+		k.Public, k.Material = j.Public, j.Material
+	case r.Hash != "":
+		sum, err := hex.DecodeString(r.Hash)
+		if err != nil || len(sum) != len(k.Material) {
+			return k, "secret_hash", fmt.Errorf("not the 64 hex digits of a hash")
+		}
+		if k.Algorithm == "" {
+			k.Algorithm = caller.Secret
+		}
+		k.Material = [32]byte(sum)
+	}
+	return k, "", nil
+}
+
+func keyRowOf(k *caller.Key) (keyRow, error) {
+	r := keyRow{ID: k.ID, Algorithm: string(k.Algorithm), Issuer: k.Issuer, Caller: k.Caller, Active: at(k.Life.Active), Retiring: at(k.Life.Retiring),
+		Retired: at(k.Life.Retired), Revoked: at(k.Life.Revoked)}
+	if k.Algorithm == caller.Secret {
+		r.Hash = hex.EncodeToString(k.Material[:])
+		return r, nil
+	}
+	var err error
+	r.JWK, err = identity.WriteJWK(k)
+	return r, err
+}
+
+func ms(t *time.Time) float64 {
+	if t == nil || t.IsZero() {
+		return 0
+	}
+	return float64(t.UnixMicro()) / 1000
+}
+
+func at(ms float64) *time.Time {
+	if ms == 0 {
+		return nil
+	}
+	t := time.UnixMicro(int64(ms * 1000)).UTC()
+	return &t
+}
--- /dev/null
+++ b/internal/keybook/source.go
@@ -0,0 +1,271 @@
+package keybook
+
+import (
+	"context"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/identity"
+	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/pure/rights"
+	"mossproxy.example/mossproxy/internal/watch"
+)
+
+// SourceConfig says which files a gate's book is made of.
+type SourceConfig struct {
+	Name    string // for the log
+	Book    string // path of the book file
+	Rights  string // path of the rights file
+	Bundle  string // path of the client certificates' bundle; "" = there is none
+	Classes []string
+	Policy  caller.Policy
+}
+
+// maxBundle bounds a bundle, in bytes.
+const maxBundle = 1 << 20
+
+// The files of a source.
+const (
+	bookPart = iota
+	rightsPart
+	bundlePart
+	parts
+)
+
+// Source makes a gate's book of files that it follows: all of them together, whole or not at all. A file that is wrong, or does not
+// go with the others, waits until one of those changes too; the old book serves on meanwhile.
+type Source struct {
+	cfg   SourceConfig
+	paths [parts]string
+	gate  *identity.Gate
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	inUse   [parts][]byte
+	waiting [parts][]byte // contents that could not be taken yet; nil = none
+	version uint64        // of the book file in use
+	epoch   uint64        // of what was made of the files
+}
+
+// Open reads the files and gives the gate its first book. An error tells each fault with file and line.
+func Open(cfg SourceConfig, gate *identity.Gate, log *slog.Logger) (*Source, error) {
+	s := &Source{cfg: cfg, paths: [parts]string{cfg.Book, cfg.Rights, cfg.Bundle}, gate: gate, log: log}
+	var next [parts][]byte
+	for i, path := range s.paths {
+		if path == "" {
+			continue
+		}
+		text, err := s.file(i, nil).Read()
+		if err != nil {
+			return nil, fmt.Errorf("callers: %w", err)
+		}
+		next[i] = text
+	}
+	if err := s.take(next); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Version is the version of the book file in use, and how often what serves has changed.
+func (s *Source) Version() (file, epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.epoch
+}
+
+func nowMS() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+func (s *Source) file(part int, to watch.Taker) *watch.File {
+	limit := []int64{MaxFile, rights.MaxText, maxBundle}[part]
+	return watch.New(watch.Config{Path: s.paths[part], Limit: limit, SettleMS: watch.DefaultSettleMS}, nowMS, to)
+}
+
+// confirmEvery is how often the file is looked at for whether it can still be read: a book that says nothing of its age is as old
+// as the last look that found it.
+const confirmEvery = time.Second
+
+// Run follows the files until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i, path := range s.paths {
+		if path == "" {
+			continue
+		}
+		f := s.file(i, &taker{s, i})
+		s.mu.Lock()
+		f.InUse(s.inUse[i])
+		s.mu.Unlock()
+		wg.Go(func() { f.Run(ctx) })
+	}
+	wg.Go(func() { s.gate.Run(ctx) })
+	look := s.file(bookPart, nil)
+	t := time.NewTicker(confirmEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		text, err := look.Read()
+		s.mu.Lock()
+		same := err == nil && string(text) == string(s.inUse[bookPart])
+		s.mu.Unlock()
+		if b := s.gate.Book(); same && b != nil && b.Issued() == 0 {
+			s.gate.Confirm(nowMS())
+		}
+	}
+}
+
+// taker takes the contents of one file.
+type taker struct {
+	s    *Source
+	part int
+}
+
+// Take takes a content, with those of the other files that wait where they go together.
+func (t *taker) Take(text []byte) error {
+	s := t.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	together := s.inUse
+	others := false
+	for i, w := range s.waiting {
+		if w != nil && i != t.part {
+			together[i], others = w, true
+		}
+	}
+	together[t.part] = text
+	alone := s.inUse
+	alone[t.part] = text
+	err := s.takeLocked(together)
+	if err == nil {
+		s.waiting = [parts][]byte{}
+		return nil
+	}
+	if others {
+		if err = s.takeLocked(alone); err == nil {
+			s.waiting[t.part] = nil
+			return nil
+		}
+	}
+	s.waiting[t.part] = text
+	return err
+}
+
+// Refused tells why a file is not taken.
+func (t *taker) Refused(why error) {
+	t.s.log.Warn("callers: refused, the book in use stays", "file", t.s.paths[t.part], "why", strings.ReplaceAll(why.Error(), "\n", "; "))
+}
+
+// Trouble tells that notices fail.
+func (t *taker) Trouble(err error) {
+	t.s.log.Warn("callers: no notices, the file is only looked at four times a second", "file", t.s.paths[t.part], "why", err.Error())
+}
+
+func (s *Source) take(next [parts][]byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takeLocked(next)
+}
+
+// errOlder tells of a book file that goes back: a key that was revoked since would live again.
+var errOlder = errors.New("older than the one in use")
+
+// takeLocked makes a book of contents and brings it into force.
+func (s *Source) takeLocked(next [parts][]byte) error {
+	b, err := Parse(s.cfg.Book, next[bookPart])
+	if err != nil {
+		return err
+	}
+	if b.Version < s.version {
+		return fmt.Errorf("%s: version %d: %w, which is of version %d", s.cfg.Book, b.Version, errOlder, s.version)
+	}
+	if b.Version == s.version && s.inUse[bookPart] != nil && !sameBut(next[bookPart], s.inUse[bookPart]) && b.Version != 0 {
+		return fmt.Errorf("%s: version %d is another content than the one in use of that version; raise it with each change", s.cfg.Book, b.Version)
+	}
+	c, err := s.cfg.Contents(b, next[rightsPart], next[bundlePart])
+	if err != nil {
+		return err
+	}
+	c.Version = s.epoch + 1
+	book, faults := caller.NewBook(c)
+	if faults != nil {
+		return Faults(s.cfg.Book, next[bookPart], faults)
+	}
+	if err := s.gate.Use(book); err != nil {
+		return fmt.Errorf("%s: %w", s.cfg.Book, err)
+	}
+	s.inUse, s.version, s.epoch = next, b.Version, c.Version
+	s.log.Info("callers: book in force", "name", s.cfg.Name, "version", b.Version, "epoch", s.epoch, "keys", len(b.Keys), "callers", len(b.Callers), "tenants", len(b.Tenants))
+	return nil
+}
+
+// sameBut says whether two books differ in when they were issued at most: one that is confirmed anew keeps its version.
+func sameBut(a, b []byte) bool {
+	cut := func(t []byte) string {
+		var out []string
+		for l := range strings.SplitSeq(string(t), "\n") {
+			if !strings.HasPrefix(l, "issued ") && !strings.HasPrefix(l, "issued=") {
+				out = append(out, l)
+			}
+		}
+		return strings.Join(out, "\n")
+	}
+	return cut(a) == cut(b)
+}
+
+// Contents puts together what a book is made of.
+func (cfg SourceConfig) Contents(b *Book, rightsText, bundle []byte) (caller.Contents, error) {
+	roles, faults := rights.Parse(cfg.Rights, string(rightsText), cfg.Classes)
+	if faults != nil {
+		return caller.Contents{}, faults
+	}
+	c := caller.Contents{Policy: cfg.Policy, Keys: b.Keys, Tenants: b.Tenants, Principals: b.Callers, Roles: roles}
+	if !b.Issued.IsZero() {
+		c.Issued = float64(b.Issued.UnixMicro()) / 1000
+	}
+	if cfg.Bundle != "" {
+		certs, err := ParseBundle(cfg.Bundle, bundle)
+		if err != nil {
+			return caller.Contents{}, err
+		}
+		c.Anchors = identity.Anchors(certs)
+	}
+	return c, nil
+}
+
+// maxCertificates bounds a bundle.
+const maxCertificates = 1000
+
+// ParseBundle reads a bundle of certificates in PEM whole. A block of another kind, or text that is none, is a fault: the file may be
+// cut or be another one.
+func ParseBundle(path string, text []byte) ([]*x509.Certificate, error) {
+	var out []*x509.Certificate
+	for rest := text; len(strings.TrimSpace(string(rest))) > 0; {
+		block, next := pem.Decode(rest)
+		if block == nil {
+			return nil, fmt.Errorf("%s: after %d certificates comes what is none; the file may be cut short", path, len(out))
+		}
+		if block.Type != "CERTIFICATE" || len(out) == maxCertificates {
+			return nil, fmt.Errorf("%s: block %d: %.40q; up to %d certificates are right", path, len(out)+1, block.Type, maxCertificates)
+		}
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("%s: certificate %d: %w", path, len(out)+1, err)
+		}
+		out, rest = append(out, c), next
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("%s: there is no certificate in it", path)
+	}
+	return out, nil
+}
--- a/internal/proto/meta/meta.go
+++ b/internal/proto/meta/meta.go
@@ -41,7 +41,9 @@
 	Value  []byte // which is read last
 
 	Class, Tenant, Idem string
-	Wait, Hint, Size    float64 // ms, ms, bytes
+	Auth                string   // a token of the caller's, for this request alone
+	Words               []string // of another verb than mg and ms, behind it
+	Wait, Hint, Size    float64  // ms, ms, bytes
 	Retry               bool
 }
 
@@ -110,6 +112,7 @@
 	}
 	c := Command{Verb: parts[0]}
 	if c.Verb != "mg" && c.Verb != "ms" {
+		c.Words = parts[1:]
 		return c, nil
 	}
 	if len(parts) != 5 || len(parts[1]) > MaxKey {
@@ -157,6 +160,8 @@
 			c.Tenant = v
 		case "k":
 			c.Idem = v
+		case "a":
+			c.Auth = v
 		case "r":
 			if c.Retry = v == "1"; !c.Retry && v != "0" {
 				return Malformed("fact %.40q", f)
@@ -184,6 +189,32 @@
 	return nil
 }
 
+// Restate makes the facts those that servers get of a known caller: its tenant, whatever it says itself, an idempotency key that is
+// nobody else's, and no token.
+func (c *Command) Restate(tenant, idem string) {
+	b := make([]byte, 0, len(c.Facts)+len(tenant)+len(idem))
+	named := false
+	for f := range strings.SplitSeq(c.Facts, ",") {
+		name, _, _ := strings.Cut(f, "=")
+		switch name {
+		case "a":
+			continue
+		case "t":
+			f, named = "t="+tenant, true
+		case "k":
+			f = "k=" + idem
+		}
+		if len(b) > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, f...)
+	}
+	if !named {
+		b = append(append(b, ",t="...), tenant...)
+	}
+	c.Facts, c.Tenant, c.Idem, c.Auth = string(b), tenant, idem, ""
+}
+
 // decimal reads a number in plain digits, perhaps with a fraction: what the library takes besides (signs, exponents,
 // hexadecimal, words) is no form of the protocol.
 func decimal(text string) (float64, error) {
@@ -367,6 +398,15 @@
 	return append(append(b, body...), "\r\n"...)
 }
 
+// NotTaken says that a request is not taken, for what its sender may or may not do: it has not run, and trying it again as it is brings
+// the same.
+func NotTaken(why string, wait float64) []byte {
+	if wait < 1 {
+		return fmt.Appendf(nil, "CLIENT_ERROR %s\r\n", why)
+	}
+	return fmt.Appendf(nil, "CLIENT_ERROR %s, come again after %d ms\r\n", why, int64(wait))
+}
+
 // Absent is the answer to a read of what nobody has.
 func Absent(id string) []byte { return fmt.Appendf(nil, "EN O%s\r\n", id) }
 
--- a/internal/pure/tenant/space.go
+++ b/internal/pure/tenant/space.go
@@ -1,6 +1,8 @@
 package tenant
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strconv"
 	"strings"
@@ -51,3 +53,25 @@
 	key, ok = strings.CutPrefix(serverKey, s.prefix)
 	return key, ok && key != "" && s.prefix != ""
 }
+
+// ID is a name within the space, for what must differ between tenants though it is no key: ids of requests and idempotency keys.
+// It is the same at every router, and most bytes long at most, which must be 32 or more: the name behind the space's beginning or,
+// where that is too long, 32 hex digits: 128 bits of SHA-256, so that no tenant finds another's. Such digits begin no other's.
+func (s Space) ID(name string, most int) string {
+	if len(s.prefix)+len(name) <= most {
+		return s.prefix + name
+	}
+	sum := sha256.Sum256([]byte(s.prefix + name)) // the prefix has its end mark
+	return hex.EncodeToString(sum[:16])
+}
+
+// SlotKey is a tenant's key as the servers of a cluster of slots know it: as Key, with a hash tag ahead that gives it the slot that
+// the tenant's own key has, as its clients count. tag is that tag, without braces.
+func (s Space) SlotKey(key, tag string, most int) (string, error) {
+	prefix := s.prefix[:max(0, len(s.prefix)-1)]
+	n := len(s.prefix) + len(tag) + 2
+	if prefix == "" || n+len(key) > most {
+		return "", fmt.Errorf("key: %d bytes: 0 to %d are right", len(key), max(0, most-n))
+	}
+	return prefix + "{" + tag + "}:" + key, nil
+}
--- /dev/null
+++ b/internal/router/callers.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/front"
+	clients "mossproxy.example/mossproxy/internal/front/meta"
+	protocol "mossproxy.example/mossproxy/internal/proto/meta"
+	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/pure/slots"
+)
+
+// recheckEvery is how often connections are looked at for callers that are withdrawn. A connection that asks learns of it at once.
+const recheckEvery = 250 * time.Millisecond
+
+// recheck ends connections whose callers are withdrawn, until ctx ends.
+func recheck(ctx context.Context, fronts []*front.Clients) {
+	t := time.NewTicker(recheckEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, f := range fronts {
+			f.Recheck()
+		}
+	}
+}
+
+// metaClients is what clients of the meta commands speak.
+func (s Setup) metaClients() clients.Protocol {
+	if s.Gate == nil {
+		return clients.Protocol{}
+	}
+	return clients.Protocol{Callers: s.Gate, Key: s.keys()}
+}
+
+// keys gives a caller's keys as the servers of the pool know them: in the space of its tenant, and where servers own slots in the
+// slot that the caller counts. The longest is that of the meta dialect, as clients of both may come to one pool.
+func (s Setup) keys() func(p *caller.Pass, key string) (string, error) {
+	if s.cluster == nil {
+		return func(p *caller.Pass, key string) (string, error) { return p.Space.Key(key, protocol.MaxKey) }
+	}
+	tags := slots.NewTags()
+	return func(p *caller.Pass, key string) (string, error) {
+		return p.Space.SlotKey(key, tags.Of(slots.Of([]byte(key))), protocol.MaxKey)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,8 +16,8 @@
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/front"
-	clients "mossproxy.example/mossproxy/internal/front/meta"
 	"mossproxy.example/mossproxy/internal/front/resp"
+	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/member"
 	protocol "mossproxy.example/mossproxy/internal/proto/meta"
 	"mossproxy.example/mossproxy/internal/pure/fill"
@@ -30,6 +30,8 @@
 	Servers *member.FileSource // the server file, opened; nil = discovery tells of servers
 	cluster *servers.Cluster   // of a pool that speaks RESP
 	Meta    net.Listener       // of such a pool: for clients that speak the meta commands; nil = none come
+	TLS     net.Listener       // for clients of the pool's own protocol whose links have TLS; nil = none come
+	Gate    *identity.Gate     // settles who calls; nil = nobody is asked
 }
 
 // Open opens the server file that a configuration names. Without one, discovery tells of servers.
@@ -92,7 +94,13 @@
 	if p, ok := proto.(*resp.Protocol); ok {
 		wg.Go(func() { p.Follow(work, func(format string, args ...any) { log.Printf(cfg.Name+": "+format, args...) }) })
 	}
+	if cfg.Gate != nil {
+		wg.Go(func() { recheck(work, fronts) })
+	}
 	log.Printf("%s: listening at %s", cfg.Name, ln.Addr())
+	if cfg.TLS != nil {
+		log.Printf("%s: TLS at %s", cfg.Name, cfg.TLS.Addr())
+	}
 	if cfg.Meta != nil {
 		log.Printf("%s: meta commands at %s", cfg.Name, cfg.Meta.Addr())
 	}
@@ -103,8 +111,10 @@
 	}
 	time.Sleep(cfg.Grace)
 	ln.Close()
-	if cfg.Meta != nil {
-		cfg.Meta.Close()
+	for _, other := range []net.Listener{cfg.Meta, cfg.TLS} {
+		if other != nil {
+			other.Close()
+		}
 	}
 	longest := 0.0 // no client waits longer, and SIGKILL comes later than that
 	for _, k := range cfg.Checked.Config.Classes {
@@ -122,12 +132,26 @@
 
 // fronts are the ways in for clients, which share the places that there are.
 func (s Setup) fronts(e *engine.Engine, proto front.Protocol, ln net.Listener, places int) []*front.Clients {
-	if s.Meta == nil {
-		return []*front.Clients{front.New(e, proto, ln, places)}
+	type way struct {
+		proto front.Protocol
+		ln    net.Listener
+	}
+	ways := []way{{proto, ln}}
+	if s.TLS != nil {
+		ways = append(ways, way{proto, s.TLS})
 	}
-	owners := func(key string, write bool) []uint32 { return s.cluster.Owners(slots.Of([]byte(key)), write) }
-	return []*front.Clients{front.New(e, proto, ln, places/2),
-		front.New(e, clients.Protocol{Owners: owners}, s.Meta, places-places/2)}
+	if s.Meta != nil {
+		p := s.metaClients()
+		p.Owners = func(key string, write bool) []uint32 { return s.cluster.Owners(slots.Of([]byte(key)), write) }
+		ways = append(ways, way{p, s.Meta})
+	}
+	var out []*front.Clients
+	for i, w := range ways {
+		n := places / (len(ways) - i) // equal parts, and the rest goes to the last
+		places -= n
+		out = append(out, front.New(e, w.proto, w.ln, max(1, n)))
+	}
+	return out
 }
 
 // extraClasses are the classes of the router's own requests.
@@ -219,7 +243,7 @@
 // clients is what the clients of a pool speak, that come to an address.
 func (s Setup) clients(addr string) front.Protocol {
 	if s.cluster == nil {
-		return clients.Protocol{}
+		return s.metaClients()
 	}
 	r := s.RESP
 	c := resp.Config{Read: r.Read, Write: r.Write, Tenant: r.Tenant, Peers: r.Peers, Me: s.Checked.Config.Me, Owners: s.cluster.Owners}
@@ -229,6 +253,9 @@
 	for _, x := range r.Logins {
 		c.Logins = append(c.Logins, resp.Login(x))
 	}
+	if s.Gate != nil {
+		c.Callers, c.Key = s.Gate, s.keys()
+	}
 	return resp.New(c, addr)
 }
 
--- /dev/null
+++ b/internal/service/callers.go
@@ -0,0 +1,64 @@
+package service
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+
+	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/identity"
+	"mossproxy.example/mossproxy/internal/keybook"
+)
+
+// known is who may call: one gate for all pools, and the files that its book is made of.
+type known struct {
+	gate   *identity.Gate
+	source *keybook.Source
+}
+
+// openKnown opens the book of callers; nil where the configuration asks nobody.
+func openKnown(f *config.File) (*known, error) {
+	c := f.Callers
+	if c == nil {
+		return nil, nil
+	}
+	o := identity.Options{Policy: c.Policy, Remember: c.Remember, Share: c.Share, Log: slog.Default()}
+	if c.Pepper != "" {
+		p, err := identity.ReadPepper(c.Pepper)
+		if err != nil {
+			return nil, fmt.Errorf("callers: %w", err)
+		}
+		o.Pepper = &p
+	}
+	if n := f.Pools[0].Checked.Config.Routers; n > 0 {
+		o.Portion = 1 / float64(n)
+	}
+	k := &known{gate: identity.NewGate(o)}
+	var err error
+	k.source, err = keybook.Open(SourceConfig(f), k.gate, slog.Default())
+	return k, err
+}
+
+// SourceConfig is where the book of a configuration comes from.
+func SourceConfig(f *config.File) keybook.SourceConfig {
+	c := f.Callers
+	var classes []string
+	for _, p := range f.Pools {
+		for _, k := range p.Checked.Config.Classes {
+			if !slices.Contains(classes, k.Name) {
+				classes = append(classes, k.Name)
+			}
+		}
+	}
+	return keybook.SourceConfig{Name: f.Name, Book: c.Book, Rights: c.Rights, Bundle: c.Bundle, Classes: classes, Policy: c.Policy}
+}
+
+// openLink opens the material of a TLS listener.
+func openLink(t *config.TLS) (*identity.Link, error) {
+	f := identity.LinkFiles{Certificate: t.Certificate, Key: t.Key, Bundle: t.Bundle, Tickets: t.Tickets,
+		Clients: identity.ClientAuth(slices.Index(config.ClientChoices, t.Clients))}
+	if err := f.Check(); err != nil {
+		return nil, err
+	}
+	return identity.OpenLink(f, slog.Default())
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log"
@@ -16,6 +17,7 @@
 	"time"
 
 	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/router"
 	"mossproxy.example/mossproxy/internal/watch"
 )
@@ -25,12 +27,14 @@
 	path  string
 	file  *config.File
 	pools []*pool
+	known *known // who may call; nil = nobody is asked
 }
 
 // pool is one running pool.
 type pool struct {
 	setup   router.Setup
 	ln      net.Listener
+	link    *identity.Link // of its TLS listener; nil = there is none
 	updates chan router.Setup
 }
 
@@ -42,8 +46,11 @@
 	}
 	s := &Service{path: path, file: file}
 	seed(file)
+	if s.known, err = openKnown(file); err != nil {
+		return nil, err
+	}
 	for _, p := range file.Pools {
-		q, err := open(p)
+		q, err := open(p, s.known)
 		if err != nil {
 			s.close()
 			return nil, fmt.Errorf("pool %s: %w", p.Name, err)
@@ -54,22 +61,53 @@
 }
 
 // open opens what a pool works by, and listens. An error leaves nothing open.
-func open(cfg *config.Config) (*pool, error) {
+func open(cfg *config.Config, k *known) (*pool, error) {
 	setup, err := router.Open(cfg)
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
+	p := &pool{setup: setup, updates: make(chan router.Setup)}
+	if cfg.Callers != nil {
+		p.setup.Gate = k.gate
+	}
+	if err := p.listen(cfg); err != nil {
+		p.close()
 		return nil, err
 	}
+	return p, nil
+}
+
+// listen opens the pool's listeners.
+func (p *pool) listen(cfg *config.Config) (err error) {
+	if p.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return err
+	}
 	if cfg.RESP != nil && cfg.RESP.Meta != "" {
-		if setup.Meta, err = net.Listen("tcp", cfg.RESP.Meta); err != nil {
+		if p.setup.Meta, err = net.Listen("tcp", cfg.RESP.Meta); err != nil {
+			return err
+		}
+	}
+	if cfg.TLS == nil {
+		return nil
+	}
+	if p.link, err = openLink(cfg.TLS); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", cfg.TLS.Listen)
+	if err != nil {
+		return err
+	}
+	p.setup.TLS = tls.NewListener(ln, p.link.Server())
+	return nil
+}
+
+// close closes what is open of a pool.
+func (p *pool) close() {
+	for _, ln := range []net.Listener{p.ln, p.setup.Meta, p.setup.TLS} {
+		if ln != nil {
 			ln.Close()
-			return nil, err
 		}
 	}
-	return &pool{setup: setup, ln: ln, updates: make(chan router.Setup)}, nil
 }
 
 // seed draws the seed that a configuration leaves out.
@@ -83,10 +121,7 @@
 
 func (s *Service) close() {
 	for _, p := range s.pools {
-		p.ln.Close()
-		if p.setup.Meta != nil {
-			p.setup.Meta.Close()
-		}
+		p.close()
 	}
 }
 
@@ -115,6 +150,14 @@
 			stop() // one pool that can't serve ends the others
 		})
 	}
+	if s.known != nil {
+		wg.Go(func() { s.known.source.Run(ctx) })
+	}
+	for _, p := range s.pools {
+		if p.link != nil {
+			wg.Go(func() { p.link.Run(ctx) })
+		}
+	}
 	wg.Go(func() { s.follow(ctx, hup) })
 	wg.Wait()
 	return errors.Join(ended...)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -16,6 +16,9 @@
 
 // Peek looks for input on a connection without taking it or waiting for it.
 func Peek(c net.Conn) (n int, err error) {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok { // of TLS: records, which may or may not hold what is read
+		c = t.NetConn()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, errors.ErrUnsupported
