--- a/decide/decide.go
+++ b/decide/decide.go
@@ -616,6 +616,15 @@
 	}
 }
 
+// fetchParts are the parts of the bound on fetches at which requests of a standing go on: what is asked over
+// a floor would keep the origin as full as it may be, and those within would wait behind it.
+var fetchParts = [...]float64{Within: 1, Borrowed: 0.5, Over: 0.25}
+
+// full says whether as many fetches are out as may be where a request goes on.
+func (b *Balancer) full(r *request) bool {
+	return b.fetching() >= max(1, b.fetches*fetchParts[r.Standing])
+}
+
 // hold makes a request wait for a place at the origin or for a fetch of its key while it can be in time.
 func (b *Balancer) hold(r *request) {
 	by := r.until - leastTime
@@ -644,7 +653,7 @@
 			b.try(r)
 		case b.cfg.Aside && (o == nil || o.State != Ready || !b.mayRun(r, o) || b.now+b.olat.floor > r.until):
 			b.end(r)
-		case !r.Write && k.fetch != nil && !b.absent(k) || b.fetching() >= max(1, b.fetches):
+		case !r.Write && k.fetch != nil && !b.absent(k) || b.full(r):
 			return false
 		case b.fetches < 1 && b.asked.add(b.now, keyTau, 0) >= b.fetches*keyTau/max(b.olat.v, leastFetch):
 			return false // a whole fetch at each of hundreds of routers jammed the origin
