An administration API for tenants on the store, with limits in force when it answers

Cause: whoever runs the service had to edit files on each router to change a tenant.

Each change is one batch, conditioned by the tenant's version; the answer comes when it is in force on all engines. Tenants' limits stand in the book of callers too, and routers that follow it take them in service. cottonyoke admin makes and revokes tokens.

Next: the other kinds of floods, a watch, usage.

--- a/cmd/cottonyoke/commands.go
+++ b/cmd/cottonyoke/commands.go
@@ -33,6 +33,7 @@
 	Store   storeCmd   `cmd:"" help:"Check, back up, restore and mend the store of a state folder."`
 	Key     keyCmd     `cmd:"" help:"Change the keys by which callers are known, step by step."`
 	Caller  callerCmd  `cmd:"" help:"Change tenants and callers, and see who changed what."`
+	Admin   adminCmd   `cmd:"" help:"Make and revoke the tokens of the administration API, or print its description."`
 	Rights  rightsCmd  `cmd:"" help:"Check the rules of what callers may do, or say which one decides."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -62,6 +63,8 @@
 		return c.Key.run(path[1])
 	case "caller":
 		return c.Caller.run(path[1])
+	case "admin":
+		return c.Admin.run(path[1])
 	case "rights":
 		return c.Rights.run(path[1])
 	}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,289 @@
+// Package admin is the administration API: HTTP and JSON on a listener of its own, by which tenants are managed without editing files on
+// each router. Every change is one batch in the store, conditioned by the version that its admin has seen; its answer comes when it is in
+// force on all engines of this router.
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"mossproxy.example/mossproxy/internal/keybook"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
+	"mossproxy.example/mossproxy/internal/store"
+)
+
+// Options are what the API works by.
+type Options struct {
+	Keeper *keybook.Keeper
+	Tokens *Tokens
+	// Publish brings the store's book to the routers and waits until its version is in force here, or ctx ends.
+	Publish func(ctx context.Context, version uint64) error
+	Log     *slog.Logger
+}
+
+// Bounds of the API.
+const (
+	maxPage     = 1000
+	maxBody     = 64 << 10
+	forceWithin = 3 * time.Second // for a change to be in force
+	headTime    = 5 * time.Second
+	idleTime    = time.Minute
+)
+
+// API is the administration API.
+type API struct {
+	o    Options
+	mux  *http.ServeMux
+	huma huma.API
+}
+
+// New makes the API.
+func New(o Options) *API {
+	a := &API{o: o, mux: http.NewServeMux()}
+	cfg := huma.DefaultConfig("cottonyoke administration", "1.0.0")
+	cfg.DocsPath, cfg.SchemasPath, cfg.CreateHooks = "", "", nil
+	cfg.Components.SecuritySchemes = map[string]*huma.SecurityScheme{"token": {Type: "http", Scheme: "bearer"}}
+	cfg.Security = []map[string][]string{{"token": {}}}
+	a.huma = humago.New(a.mux, cfg)
+	a.huma.UseMiddleware(a.authorize)
+	a.operations()
+	return a
+}
+
+// OpenAPI is the description of the API, version 3.1, in YAML: it is made of the handlers, so it can't differ from them.
+func (a *API) OpenAPI() ([]byte, error) { return a.huma.OpenAPI().YAML() }
+
+// Serve serves the API until ctx ends, and answers what it has taken.
+func (a *API) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{Handler: http.MaxBytesHandler(a.mux, maxBody), ReadHeaderTimeout: headTime, ReadTimeout: 2 * headTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(a.o.Log.Handler(), slog.LevelWarn)}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(ln) }()
+	select {
+	case err := <-ended:
+		return fmt.Errorf("administration: %w", err)
+	case <-ctx.Done():
+	}
+	end, stop := context.WithTimeout(context.Background(), forceWithin)
+	defer stop()
+	err := srv.Shutdown(end)
+	<-ended
+	return err
+}
+
+// Limits are a tenant's over the whole service.
+type Limits struct {
+	Floor  float64 `json:"floor_per_s,omitempty" minimum:"0" doc:"Requests a second that it always gets while it asks."`
+	Weight float64 `json:"weight,omitempty" minimum:"0" doc:"Its part of what others leave; 0 counts as 1."`
+	Burst  float64 `json:"burst_s,omitempty" minimum:"0" maximum:"60" doc:"Seconds of floor and hard rates that may be saved up; 0 counts as 1."`
+	Most   float64 `json:"most_per_s,omitempty" minimum:"0" doc:"Requests a second, not below the floor; 0 = no such limit."`
+	Open   int     `json:"open,omitempty" minimum:"0" doc:"Requests at once; 0 = no such limit."`
+	Bytes  int64   `json:"bytes,omitempty" minimum:"0" doc:"Bytes of requests in hand; 0 = no such limit."`
+}
+
+// Spec is what an admin says of a tenant.
+type Spec struct {
+	Suspended bool   `json:"suspended,omitempty" doc:"Nothing of it is taken."`
+	Limits    Limits `json:"limits,omitempty"`
+}
+
+// Tenant is a tenant as the API shows it.
+type Tenant struct {
+	Name       string `json:"name"`
+	Generation uint32 `json:"generation" doc:"Tells it from earlier tenants of its name."`
+	Spec
+	Version uint64 `json:"version" doc:"Of its last change; the ETag."`
+}
+
+func shown(t keybook.Tenant) Tenant {
+	return Tenant{t.Name, t.Generation, Spec{t.Suspended, Limits{t.Floor, t.Weight, t.Burst, t.Most, t.Open, t.Bytes}}, t.Version}
+}
+
+type tenantAnswer struct {
+	ETag string `header:"ETag"`
+	Body Tenant
+}
+
+func answerOf(t keybook.Tenant) *tenantAnswer {
+	return &tenantAnswer{etag(t.Version), shown(t)}
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// Named is the input of a call about one tenant.
+type Named struct {
+	Name string `path:"name" maxLength:"32" doc:"The tenant."`
+}
+
+// Conditioned is the input of a change, which says what it is made on.
+type Conditioned struct {
+	Named
+	IfMatch     string `header:"If-Match" doc:"The ETag that the change is made on."`
+	IfNoneMatch string `header:"If-None-Match" doc:"* = the tenant must not be there."`
+}
+
+// expected is the version that a change is conditioned by: 0 = the tenant must not be there.
+func (c Conditioned) expected() (uint64, error) {
+	switch {
+	case c.IfMatch != "" && c.IfNoneMatch != "":
+		return 0, huma.Error400BadRequest("If-Match and If-None-Match don't go together")
+	case c.IfNoneMatch == "*":
+		return 0, nil
+	case c.IfMatch == "":
+		return 0, huma.NewError(http.StatusPreconditionRequired, "say what the change is made on: If-Match with the ETag, or If-None-Match: * for a new tenant")
+	}
+	n, err := strconv.ParseUint(strings.Trim(c.IfMatch, `"`), 10, 64)
+	if err != nil || n == 0 || c.IfMatch != etag(n) {
+		return 0, huma.Error400BadRequest("If-Match is no ETag of a tenant", &huma.ErrorDetail{Location: "header.If-Match", Value: c.IfMatch, Message: `as "17" is right`})
+	}
+	return n, nil
+}
+
+type page struct {
+	After string `query:"after" maxLength:"32" doc:"Tenants whose names come behind this one."`
+	Limit int    `query:"limit" default:"100" minimum:"1" maximum:"1000"`
+}
+
+type pageAnswer struct {
+	Body struct {
+		Version uint64   `json:"version" doc:"Of the book that this page is of."`
+		Tenants []Tenant `json:"tenants"`
+		Next    string   `json:"next,omitempty" doc:"What after is for the next page; missing on the last one."`
+	}
+}
+
+type changed struct {
+	Body struct {
+		Version uint64 `json:"version" doc:"Of the book in force."`
+	}
+}
+
+type records struct {
+	ContentType string `header:"Content-Type"`
+	Body        []byte
+}
+
+// operations are what the API can do.
+func (a *API) operations() {
+	huma.Get(a.huma, "/v1/tenants", a.list)
+	huma.Get(a.huma, "/v1/tenants/{name}", a.get)
+	huma.Put(a.huma, "/v1/tenants/{name}", a.put)
+	huma.Delete(a.huma, "/v1/tenants/{name}", a.remove)
+	huma.Get(a.huma, "/v1/audit", a.audit)
+}
+
+func (a *API) list(_ context.Context, p *page) (*pageAnswer, error) {
+	got, version, err := a.o.Keeper.Tenants(p.After, min(p.Limit, maxPage)+1)
+	if err != nil {
+		return nil, problem(err)
+	}
+	out := &pageAnswer{}
+	out.Body.Version, out.Body.Tenants = version, []Tenant{}
+	for i, t := range got {
+		if i == p.Limit {
+			out.Body.Next = got[i-1].Name
+			break
+		}
+		out.Body.Tenants = append(out.Body.Tenants, shown(t))
+	}
+	return out, nil
+}
+
+func (a *API) get(_ context.Context, in *Named) (*tenantAnswer, error) {
+	t, err := a.o.Keeper.Tenant(in.Name)
+	if err == nil && t.Version == 0 {
+		return nil, huma.Error404NotFound("there is no tenant of that name")
+	}
+	if err != nil {
+		return nil, problem(err)
+	}
+	return answerOf(t), nil
+}
+
+func (a *API) put(ctx context.Context, in *struct {
+	Conditioned
+	Body Spec
+}) (*tenantAnswer, error) {
+	expected, err := in.expected()
+	if err != nil {
+		return nil, err
+	}
+	l := in.Body.Limits
+	t, book, err := a.keeper(ctx).PutTenant(keybook.Tenant{Name: in.Name, Suspended: in.Body.Suspended,
+		Limits: tenant.Limits{Floor: l.Floor, Weight: l.Weight, Burst: l.Burst, Most: l.Most, Open: l.Open, Bytes: l.Bytes}}, expected)
+	if err != nil {
+		return nil, problem(err)
+	}
+	if err := a.publish(ctx, book); err != nil {
+		return nil, err
+	}
+	return answerOf(t), nil
+}
+
+func (a *API) remove(ctx context.Context, in *Conditioned) (*changed, error) {
+	expected, err := in.expected()
+	if err == nil && expected == 0 {
+		err = huma.Error400BadRequest("a tenant that is not there can't be deleted: say If-Match")
+	}
+	if err != nil {
+		return nil, err
+	}
+	book, err := a.keeper(ctx).RemoveTenant(in.Name, expected)
+	if err != nil {
+		return nil, problem(err)
+	}
+	out := &changed{}
+	out.Body.Version = book
+	return out, a.publish(ctx, book)
+}
+
+func (a *API) audit(_ context.Context, in *struct {
+	Above uint64 `query:"above" doc:"Records above this version of the book."`
+}) (*records, error) {
+	var b strings.Builder
+	if err := a.o.Keeper.Audit(&b, in.Above); err != nil {
+		return nil, problem(err)
+	}
+	return &records{"application/x-ndjson", []byte(b.String())}, nil
+}
+
+// publish has a change in force, or says that it is made and not in force yet.
+func (a *API) publish(ctx context.Context, version uint64) error {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), forceWithin) // an admin who leaves takes nothing back
+	defer stop()
+	if err := a.o.Publish(ctx, version); err != nil {
+		a.o.Log.Warn("administration: a change is not in force yet", "version", version, "why", err)
+		return huma.Error503ServiceUnavailable(fmt.Sprintf("the change is made, as version %d, and not in force yet: don't make it again", version))
+	}
+	return nil
+}
+
+// problem is an error as the API tells it (RFC 9457).
+func problem(err error) error {
+	var stale *keybook.StaleError
+	var known huma.StatusError
+	switch {
+	case errors.As(err, &known):
+		return err
+	case errors.As(err, &stale):
+		return huma.NewError(http.StatusPreconditionFailed, "another change came first: "+stale.Error(), &huma.ErrorDetail{Location: "header.If-Match", Message: "current ETag", Value: etag(stale.Current)})
+	case errors.Is(err, store.ErrFull), errors.Is(err, store.ErrReadOnly), errors.Is(err, store.ErrClosed):
+		return huma.NewError(http.StatusInsufficientStorage, "nothing was changed: "+err.Error())
+	case errors.Is(err, keybook.ErrConflict):
+		return huma.Error409Conflict(err.Error())
+	}
+	if field, what, ok := strings.Cut(err.Error(), ": "); ok && !strings.Contains(field, " ") {
+		return huma.Error422UnprocessableEntity("a field is wrong", &huma.ErrorDetail{Location: "body.limits." + field, Message: what})
+	}
+	return huma.Error500InternalServerError("the store could not do it", err)
+}
--- a/internal/config/callers.go
+++ b/internal/config/callers.go
@@ -46,6 +46,30 @@
 	Share     *float64 `toml:"checks_share"`
 }
 
+// Admin is where the administration API is served, and the store that it changes.
+type Admin struct{ Listen, State string }
+
+type adminKeys struct {
+	Listen string `toml:"listen"`
+	State  string `toml:"state"`
+}
+
+// admin checks [admin]; nil where there is none.
+func (c *checker) admin(callers *Callers, addresses *[]string) *Admin {
+	k := c.doc.Admin
+	if k == (adminKeys{}) {
+		return nil
+	}
+	c.listen("admin.listen", k.Listen, addresses)
+	if k.State == "" {
+		c.bad("admin.state", "missing; it names the folder of the store that has the book")
+	}
+	if callers == nil {
+		c.bad("admin", "changes the book of callers, and there is none: it takes [callers] and a pool with callers = true")
+	}
+	return &Admin{k.Listen, c.relative(k.State)}
+}
+
 type tlsKeys struct {
 	Listen      string `toml:"listen"`
 	Certificate string `toml:"certificate"`
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -30,6 +30,8 @@
 	Log   Log
 	// Callers is where the pools learn who may call; nil = none of them asks.
 	Callers *Callers
+	// Admin is the administration API; nil = there is none.
+	Admin *Admin
 }
 
 // MaxFile is the longest configuration that is read, in bytes.
@@ -51,6 +53,7 @@
 	Capacity *float64     `toml:"capacity_per_s"`
 	Pools    []poolKeys   `toml:"pool"`
 	Callers  callersKeys  `toml:"callers"`
+	Admin    adminKeys    `toml:"admin"`
 	Log      logKeys      `toml:"log"`
 	End      *struct{}    `toml:"end"`
 }
@@ -261,6 +264,7 @@
 		c.bad("pool", "there is none; add [[pool]] with a name, listen and servers")
 	}
 	var names, addresses []string
+	out.Admin = c.admin(out.Callers, &addresses)
 	total := 0.0
 	for i := range doc.Pools {
 		part := number(c, fmt.Sprintf("pool[%d].part", i), doc.Pools[i].Part, 1, 0.01, 100, "")
@@ -503,6 +507,7 @@
 	differs("name", f.Name != next.Name)
 	differs("limits.cores", f.Cores != next.Cores)
 	differs("log", f.Log != next.Log)
+	differs("admin", !reflect.DeepEqual(f.Admin, next.Admin))
 	differs("callers", !reflect.DeepEqual(f.Callers, next.Callers))
 	if len(f.Pools) != len(next.Pools) {
 		return append(keys, "pool (their number)")
--- a/internal/keybook/file.go
+++ b/internal/keybook/file.go
@@ -16,6 +16,7 @@
 
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/tomlfile"
 )
 
@@ -28,6 +29,7 @@
 	Issued  time.Time // when it was known to be in force; zero = it does not say
 	Keys    []caller.Key
 	Tenants []caller.Tenant
+	Limits  map[string]tenant.Limits // of the tenants that have any
 	Callers []caller.Principal
 }
 
@@ -45,6 +47,25 @@
 	Name       string `toml:"name" json:"name"`
 	Generation uint32 `toml:"generation,omitempty" json:"generation"`
 	Suspended  bool   `toml:"suspended,omitempty" json:"suspended,omitempty"`
+	limitRow
+}
+
+// limitRow are a tenant's limits over the whole service; 0 = no such limit. Burst and weight of 0 count as 1.
+type limitRow struct {
+	Floor  float64 `toml:"floor_per_s,omitempty" json:"floor_per_s,omitempty"`
+	Weight float64 `toml:"weight,omitempty" json:"weight,omitempty"`
+	Burst  float64 `toml:"burst_s,omitempty" json:"burst_s,omitempty"`
+	Most   float64 `toml:"most_per_s,omitempty" json:"most_per_s,omitempty"`
+	Open   int     `toml:"open,omitempty" json:"open,omitempty"`
+	Bytes  int64   `toml:"bytes,omitempty" json:"bytes,omitempty"`
+}
+
+func (r limitRow) limits() tenant.Limits {
+	return tenant.Limits{Floor: r.Floor, Weight: r.Weight, Burst: r.Burst, Most: r.Most, Open: r.Open, Bytes: r.Bytes}
+}
+
+func limitsRow(l tenant.Limits) limitRow {
+	return limitRow{l.Floor, l.Weight, l.Burst, l.Most, l.Open, l.Bytes}
 }
 
 type callerRow struct {
@@ -85,8 +106,12 @@
 		return nil, tomlfile.Faults{d.Fault("", "the last line is missing, so the file may be cut short; if it is whole, add as its last line: [end]")}
 	}
 	b := &Book{Version: doc.Version, Issued: doc.Issued}
-	for _, t := range doc.Tenants {
-		b.Tenants = append(b.Tenants, t.tenant())
+	for i, t := range doc.Tenants {
+		l := t.limits()
+		if err := l.Check(); err != nil {
+			faults = append(faults, d.Fault(fmt.Sprintf("tenant[%d]", i), "%v", err))
+		}
+		b.addTenant(t)
 	}
 	for i, c := range doc.Callers {
 		p, err := c.principal()
@@ -126,7 +151,7 @@
 func (b *Book) Text() ([]byte, error) {
 	doc := document{Version: b.Version, Issued: b.Issued.UTC()}
 	for _, t := range b.Tenants {
-		doc.Tenants = append(doc.Tenants, tenantRow(t))
+		doc.Tenants = append(doc.Tenants, b.tenantRow(t))
 	}
 	for _, c := range b.Callers {
 		doc.Callers = append(doc.Callers, rowOf(c))
@@ -147,7 +172,21 @@
 	return out.Bytes(), nil
 }
 
-func (t tenantRow) tenant() caller.Tenant { return caller.Tenant(t) }
+// addTenant adds a row's tenant, with its limits.
+func (b *Book) addTenant(r tenantRow) {
+	b.Tenants = append(b.Tenants, caller.Tenant{Name: r.Name, Generation: r.Generation, Suspended: r.Suspended})
+	if r.limitRow != (limitRow{}) {
+		if b.Limits == nil {
+			b.Limits = map[string]tenant.Limits{}
+		}
+		b.Limits[r.Name] = r.limits()
+	}
+}
+
+// tenantRow is a tenant's row.
+func (b *Book) tenantRow(t caller.Tenant) tenantRow {
+	return tenantRow{t.Name, t.Generation, t.Suspended, limitsRow(b.Limits[t.Name])}
+}
 
 func (c callerRow) principal() (caller.Principal, error) {
 	p := caller.Principal{Name: c.Name, Tenant: c.Tenant, Roles: c.Roles, Certificates: c.Certificates}
--- a/internal/keybook/keybook_test.go
+++ b/internal/keybook/keybook_test.go
@@ -16,6 +16,7 @@
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/identity/identitytest"
 	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/standin/disk"
 	"mossproxy.example/mossproxy/internal/standin/standintest"
 	"mossproxy.example/mossproxy/internal/store"
@@ -132,6 +133,25 @@
 		life("old", func(l *caller.Life) { l.Retiring = ms(); l.Retired = ms() + 1000 }),
 		life("old", func(l *caller.Life) { l.Revoked = ms() }),
 		func() error { _, err := k.DeleteTenant(0, "t"); return err },
+		func() error {
+			_, _, err := k.PutTenant(Tenant{Name: "u", Limits: tenant.Limits{Floor: 5}}, 0)
+			return err
+		},
+		func() error {
+			u, err := k.Tenant("u")
+			if err == nil {
+				u.Limits.Floor, u.Suspended = 7, true
+				_, _, err = k.PutTenant(u, u.Version)
+			}
+			return err
+		},
+		func() error {
+			u, err := k.Tenant("u")
+			if err == nil {
+				_, err = k.RemoveTenant("u", u.Version)
+			}
+			return err
+		},
 	}
 }
 
--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -14,6 +14,7 @@
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/pure/rights"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/watch"
 )
 
@@ -49,8 +50,10 @@
 	mu      sync.Mutex
 	inUse   [parts][]byte
 	waiting [parts][]byte // contents that could not be taken yet; nil = none
-	version uint64        // of the book file in use
-	epoch   uint64        // of what was made of the files
+	limits  map[string]tenant.Limits
+	names   []caller.Tenant
+	version uint64 // of the book file in use
+	epoch   uint64 // of what was made of the files
 }
 
 // Open reads the files and gives the gate its first book. An error tells each fault with file and line.
@@ -80,6 +83,13 @@
 	return s.version, s.epoch
 }
 
+// Tenants are those of the book in use with their limits, and what Version gives as epoch. They must not be changed.
+func (s *Source) Tenants() (epoch uint64, names []caller.Tenant, limits map[string]tenant.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch, s.names, s.limits
+}
+
 func nowMS() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
 func (s *Source) file(part int, to watch.Taker) *watch.File {
@@ -204,7 +214,7 @@
 	if err := s.gate.Use(book); err != nil {
 		return fmt.Errorf("%s: %w", s.cfg.Book, err)
 	}
-	s.inUse, s.version, s.epoch = next, b.Version, c.Version
+	s.inUse, s.version, s.epoch, s.limits, s.names = next, b.Version, c.Version, b.Limits, b.Tenants
 	s.log.Info("callers: book in force", "name", s.cfg.Name, "version", b.Version, "epoch", s.epoch, "keys", len(b.Keys), "callers", len(b.Callers), "tenants", len(b.Tenants))
 	return nil
 }
--- a/internal/keybook/store.go
+++ b/internal/keybook/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/store"
 )
 
@@ -71,7 +72,7 @@
 		return nil, err
 	}
 	if err := each(sn, tenantPrefix, func(r tenantRow) error {
-		b.Tenants = append(b.Tenants, r.tenant())
+		b.addTenant(r)
 		return nil
 	}); err != nil {
 		return nil, err
@@ -277,6 +278,9 @@
 			return change{}, err
 		}
 		row := tenantRow{Name: name, Generation: gen + 1}
+		if err := tenant.CheckName(name); err != nil {
+			return change{}, err
+		}
 		return change{what: "tenant create", name: name, to: row, puts: map[string]any{tenantPrefix + name: row, genPrefix + name: row.Generation}}, nil
 	})
 }
@@ -314,17 +318,21 @@
 		if err != nil {
 			return change{}, err
 		}
-		c := change{what: "tenant delete", name: name, from: row, deletes: []string{tenantPrefix + name}}
-		for _, p := range b.Callers {
-			if p.Tenant == name {
-				c.deletes = append(c.deletes, callerPrefix+p.Name)
-				c.deletes = append(c.deletes, secretsOf(b, p.Name)...)
-			}
-		}
-		return c, nil
+		return ending(b, row), nil
 	})
 }
 
+// ending is the end of a tenant, with all that is its.
+func ending(b *Book, row tenantRow) change {
+	c := change{what: "tenant delete", name: row.Name, from: row, deletes: []string{tenantPrefix + row.Name}}
+	for _, p := range b.Callers {
+		if p.Tenant == row.Name {
+			c.deletes = append(append(c.deletes, callerPrefix+p.Name), secretsOf(b, p.Name)...)
+		}
+	}
+	return c
+}
+
 // secretsOf are the store's names of a caller's secrets.
 func secretsOf(b *Book, name string) (out []string) {
 	for _, key := range b.Keys {
@@ -416,7 +424,7 @@
 		}
 		c := change{what: "import", name: fmt.Sprintf("version %d", b.Version), puts: map[string]any{}}
 		for _, t := range b.Tenants {
-			c.puts[tenantPrefix+t.Name], c.puts[genPrefix+t.Name] = tenantRow(t), t.Generation
+			c.puts[tenantPrefix+t.Name], c.puts[genPrefix+t.Name] = b.tenantRow(t), t.Generation
 		}
 		for _, p := range b.Callers {
 			c.puts[callerPrefix+p.Name] = rowOf(p)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,12 +28,14 @@
 // Setup is what a router works by.
 type Setup struct {
 	*config.Config
-	Servers *member.FileSource // the server file, opened; nil = discovery tells of servers
-	cluster *servers.Cluster   // of a pool that speaks RESP
-	Meta    net.Listener       // of such a pool: for clients that speak the meta commands; nil = none come
-	TLS     net.Listener       // for clients of the pool's own protocol whose links have TLS; nil = none come
-	Links   backend.TLS        // of links to servers and origin; nil = they are plain
-	Gate    *identity.Gate     // settles who calls; nil = nobody is asked
+	Servers *member.FileSource                       // the server file, opened; nil = discovery tells of servers
+	cluster *servers.Cluster                         // of a pool that speaks RESP
+	Meta    net.Listener                             // of such a pool: for clients that speak the meta commands; nil = none come
+	TLS     net.Listener                             // for clients of the pool's own protocol whose links have TLS; nil = none come
+	Links   backend.TLS                              // of links to servers and origin; nil = they are plain
+	Book    func() (epoch uint64, t *config.Tenants) // limits of tenants that change by themselves, and how often they did; nil = Tenants has them
+	InForce func(epoch uint64)                       // told of each such change that counts on all engines
+	Gate    *identity.Gate                           // settles who calls; nil = nobody is asked
 }
 
 // Open opens the server file that a configuration names. Without one, discovery tells of servers. Links to them carry TLS where
@@ -100,6 +102,9 @@
 	if cfg.Gate != nil {
 		wg.Go(func() { recheck(work, fronts) })
 	}
+	if cfg.Book != nil {
+		wg.Go(func() { rs.followBook(work, cfg) })
+	}
 	slog.Info("listening", "router", cfg.Name, "addr", ln.Addr().String())
 	if cfg.TLS != nil {
 		slog.Info("listening for TLS", "router", cfg.Name, "addr", cfg.TLS.Addr().String())
@@ -229,7 +234,7 @@
 	m.Routers, m.Me = m.Routers*s.n, m.Me*s.n+s.i // equal parts of all that routers share: cold servers, the origin, quotas
 	// A value is in memory up to three times, as it came and as it goes out.
 	memory := cfg.Limits.MemoryMB << 20 / int64(s.n)
-	return engine.New(engine.Options{Module: m, Store: s.store, Tenants: newLimits(cfg.Config), IDs: s.ids, Seed: cfg.SeedNumber + uint64(s.i), Held: memory / 16,
+	return engine.New(engine.Options{Module: m, Store: s.store, Tenants: newLimits(cfg), IDs: s.ids, Seed: cfg.SeedNumber + uint64(s.i), Held: memory / 16,
 		Queued: memory / 8, Infers: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
 
@@ -352,7 +357,7 @@
 	c := next.Checked.Config
 	rs.each(func(r *router) {
 		if l, ok := r.Tenants().(*limits); ok && next.Tenants != nil {
-			l.configure(r.Now(), next.Config)
+			l.configure(r.Now(), next.Config, next.Tenants)
 		}
 		if err := r.Configure(append(slices.Clip(c.Classes), r.extra...), c.Tenants, c.OverWorth); err != nil {
 			slog.Warn("classes and tenants stay", "router", next.Name, "err", err)
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -1,6 +1,10 @@
 package router
 
 import (
+	"context"
+	"sync"
+	"time"
+
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/engine"
@@ -19,6 +23,7 @@
 	classes map[string]int // their numbers
 	counted map[*engine.Request]booked
 	portion float64 // when it was set
+	off     bool    // nobody has limits
 }
 
 // booked is what a request has been counted as.
@@ -28,18 +33,24 @@
 }
 
 // newLimits is nil where no tenant has a limit.
-func newLimits(cfg *config.Config) engine.Tenants {
-	if cfg.Tenants == nil {
+func newLimits(cfg Setup) engine.Tenants {
+	if cfg.Tenants == nil && cfg.Book == nil {
 		return nil
 	}
 	l := &limits{handles: map[string]tenant.Handle{}, counted: map[*engine.Request]booked{}}
-	l.configure(0, cfg)
+	t := cfg.Tenants
+	if cfg.Book != nil {
+		_, t = cfg.Book()
+	}
+	l.configure(0, cfg.Config, t)
 	return l
 }
 
 // configure takes limits; tenants that stay keep what they have in hand.
-func (l *limits) configure(now float64, cfg *config.Config) {
-	t := cfg.Tenants
+func (l *limits) configure(now float64, cfg *config.Config, t *config.Tenants) {
+	if l.off = t == nil; l.off { // what is counted is counted on, and nobody is held to it
+		t = &config.Tenants{}
+	}
 	if l.book == nil {
 		l.book = tenant.NewBook(t.Capacity)
 		l.others, _ = l.book.Create(now, tenant.Limits{}) // no limit can be wrong
@@ -86,6 +97,12 @@
 		class = -1
 	}
 	v, err := l.book.Arrive(now, h, class, 1, int64(q.Held))
+	if l.off {
+		if v.Standing < tenant.Beyond {
+			l.counted[q] = booked{h, class}
+		}
+		return decide.Within, 0
+	}
 	if err != nil || v.Standing >= tenant.Beyond {
 		return decide.Beyond, v.Again
 	}
@@ -100,3 +117,51 @@
 		l.book.Done(b.of, b.class, int64(q.Held))
 	}
 }
+
+// bookEvery is how often the limits of the book are looked at: an admin waits for them to count.
+const bookEvery = 20 * time.Millisecond
+
+// followBook has all engines take the limits of the book as they change, until ctx ends. A change is told of once it counts on each.
+func (rs engines) followBook(ctx context.Context, cfg Setup) {
+	tick := time.NewTicker(bookEvery)
+	defer tick.Stop()
+	for last := uint64(0); ; {
+		if epoch, t := cfg.Book(); epoch != last {
+			last = epoch
+			var all sync.WaitGroup
+			all.Add(len(rs))
+			rs.each(func(r *router) {
+				defer all.Done()
+				if l, ok := r.Tenants().(*limits); ok {
+					l.configure(r.Now(), cfg.Config, t)
+				}
+			})
+			if !waited(ctx, &all) {
+				return
+			}
+			if cfg.InForce != nil {
+				cfg.InForce(epoch)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// waited waits for all, or until ctx ends: an engine that has ended does nothing more.
+func waited(ctx context.Context, all *sync.WaitGroup) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		all.Wait()
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/service/admin.go
@@ -0,0 +1,109 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/admin"
+	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/keybook"
+	"mossproxy.example/mossproxy/internal/store"
+	"mossproxy.example/mossproxy/internal/store/fsys"
+)
+
+// administration is the API with the store that it changes.
+type administration struct {
+	s      *Service
+	store  *store.Store
+	keeper *keybook.Keeper
+	api    *admin.API
+	ln     net.Listener
+	path   string // of the book file
+
+	mu       sync.Mutex
+	exported uint64 // the version in the file
+}
+
+// openAdmin opens the store and listens. The book file is written anew where a crash left it behind the store.
+func (s *Service) openAdmin(cfg *config.Admin) (*administration, error) {
+	st, err := store.Open(fsys.Dir(cfg.State), store.Options{Owner: "cottonyoke serve"})
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	a := &administration{s: s, store: st, keeper: keybook.NewKeeper(st, "serve", nil), path: s.file.Callers.Book}
+	if a.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
+		st.Close()
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	a.api = admin.New(admin.Options{Keeper: a.keeper, Tokens: admin.NewTokens(st), Publish: a.publish, Log: slog.Default()})
+	version, err := a.keeper.Version()
+	if has, _ := s.known.source.Version(); err == nil && version > has {
+		err = a.export(version)
+	}
+	if err != nil {
+		a.ln.Close()
+		st.Close()
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	return a, nil
+}
+
+// run serves the API until ctx ends.
+func (a *administration) run(ctx context.Context) {
+	defer a.store.Close()
+	slog.Info("administration: listening", "addr", a.ln.Addr().String())
+	if err := a.api.Serve(ctx, a.ln); err != nil {
+		slog.Error("administration: ended", "why", err)
+	}
+}
+
+// export writes the book file if it is older than a version.
+func (a *administration) export(version uint64) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.exported >= version {
+		return nil
+	}
+	v, err := a.keeper.Export(a.path)
+	if err == nil {
+		a.exported = v
+	}
+	return err
+}
+
+// forceEvery is how often it is looked at whether a version is in force.
+const forceEvery = 5 * time.Millisecond
+
+// publish writes the book file and waits until its version is in force on all engines of all pools.
+func (a *administration) publish(ctx context.Context, version uint64) error {
+	if err := a.export(version); err != nil {
+		return err
+	}
+	t := time.NewTicker(forceEvery)
+	defer t.Stop()
+	for !a.inForce(version) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("version %d is not in force: %w", version, ctx.Err())
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+func (a *administration) inForce(version uint64) bool {
+	has, epoch := a.s.known.source.Version()
+	if has < version {
+		return false
+	}
+	for _, p := range a.s.pools {
+		if p.setup.Book != nil && p.inForce.Load() < epoch {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/service/callers.go
+++ b/internal/service/callers.go
@@ -39,6 +39,19 @@
 	return k, err
 }
 
+// limits are those of the book's tenants, as the router takes them; nil where none has any.
+func (k *known) limits() (epoch uint64, t *config.Tenants) {
+	epoch, names, limits := k.source.Tenants()
+	if len(limits) == 0 {
+		return epoch, nil
+	}
+	t = &config.Tenants{}
+	for _, n := range names {
+		t.Tenants = append(t.Tenants, config.TenantLimits{Name: n.Name, Suspended: n.Suspended, Limits: limits[n.Name]})
+	}
+	return epoch, t
+}
+
 // SourceConfig is where the book of a configuration comes from.
 func SourceConfig(f *config.File) keybook.SourceConfig {
 	c := f.Callers
--- a/internal/service/callers_test.go
+++ b/internal/service/callers_test.go
@@ -24,8 +24,9 @@
 
 // gated is routers over one fleet and one cluster, whose pools ask who calls. Pool 0 speaks the meta commands, pool 1 RESP.
 type gated struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
+	more      string // of the configuration
 	fleet     *standin.Fleet
 	cluster   *standin.Cluster
 	routers   []*Service
@@ -97,7 +98,7 @@
 
 // startGated starts routers. Tenants a, b and c have a caller each, of all rights, by token (NAME/all), certificate (uri:spiffe://t/NAME)
 // and secret (key NAME-key, secret NAME-secret); tenant a has a reader too.
-func startGated(t *testing.T, routers int) *gated {
+func startGated(t testing.TB, routers int) *gated {
 	t.Helper()
 	g := &gated{t: t, dir: t.TempDir(), authority: identitytest.NewAuthority(t, "clients"), pepper: identity.Pepper{7}}
 	quick := standin.Capacity{Workers: 16, Work: 0.1, Queue: 1 << 12}
@@ -142,7 +143,7 @@
 func (g *gated) start(audience string) *Service {
 	g.t.Helper()
 	name := "c-" + audience + ".toml"
-	g.write(name, strings.NewReplacer("AUDIENCE", audience, "SEED", g.cluster.Nodes()[0].Addr()).Replace(gatedConfig))
+	g.write(name, strings.NewReplacer("AUDIENCE", audience, "SEED", g.cluster.Nodes()[0].Addr()).Replace(strings.Replace(gatedConfig, "[callers]", g.more+"[callers]", 1)))
 	s, err := Open(filepath.Join(g.dir, name))
 	if err != nil {
 		g.t.Fatal(err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,6 +14,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mossproxy.example/mossproxy/internal/backend"
@@ -29,11 +30,13 @@
 	file  *config.File
 	pools []*pool
 	known *known // who may call; nil = nobody is asked
+	admin *administration
 }
 
 // pool is one running pool.
 type pool struct {
 	setup   router.Setup
+	inForce atomic.Uint64 // what of the book's limits counts on all engines
 	ln      net.Listener
 	link    *identity.Link // of its TLS listener; nil = there is none
 	servers *identity.Link // of the way to its servers; nil = it is plain
@@ -59,6 +62,12 @@
 		}
 		s.pools = append(s.pools, q)
 	}
+	if file.Admin != nil {
+		if s.admin, err = s.openAdmin(file.Admin); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
@@ -79,6 +88,10 @@
 	p := &pool{setup: setup, servers: servers, updates: make(chan router.Setup)}
 	if cfg.Callers != nil {
 		p.setup.Gate = k.gate
+		p.setup.InForce = p.inForce.Store
+		if cfg.Tenants == nil {
+			p.setup.Book = k.limits
+		}
 	}
 	if err := p.listen(cfg); err != nil {
 		p.close()
@@ -171,6 +184,9 @@
 	if s.known != nil {
 		wg.Go(func() { s.known.source.Run(ctx) })
 	}
+	if s.admin != nil {
+		wg.Go(func() { s.admin.run(ctx) })
+	}
 	for _, p := range s.pools {
 		for _, l := range []*identity.Link{p.link, p.servers} {
 			if l != nil {
