Tenants by command, their usage by minute, and a watch on the administration API

Cause: an admin had curl alone, and nobody saw what a tenant asked.

Change: cottonyoke tenant list|show|create|set|suspend|resume|delete|usage|watch by the API, conditioned by the version that was read; /v1/tenants/NAME/usage (an hour by minute and standing, pure in internal/pure/tenant); /v1/watch waits for changes above a version. Rights files may name classes that a new configuration brought. Calls that wait end when the router does.

Measured: TestAdministration counts 30 requests of a limited tenant by where they stood; TestTenantCommands goes through the commands.

--- a/cmd/cottonyoke/commands.go
+++ b/cmd/cottonyoke/commands.go
@@ -34,6 +34,7 @@
 	Key     keyCmd     `cmd:"" help:"Change the keys by which callers are known, step by step."`
 	Caller  callerCmd  `cmd:"" help:"Change tenants and callers, and see who changed what."`
 	Admin   adminCmd   `cmd:"" help:"Make and revoke the tokens of the administration API, or print its description."`
+	Tenant  tenantCmd  `cmd:"" help:"See and change tenants by the administration API of a router."`
 	Rights  rightsCmd  `cmd:"" help:"Check the rules of what callers may do, or say which one decides."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -65,6 +66,8 @@
 		return c.Caller.run(path[1])
 	case "admin":
 		return c.Admin.run(path[1])
+	case "tenant":
+		return c.Tenant.run(path[1])
 	case "rights":
 		return c.Rights.run(path[1])
 	}
--- /dev/null
+++ b/cmd/cottonyoke/tenant.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"mossproxy.example/mossproxy/internal/admin"
+)
+
+type limitFlags struct {
+	Floor  *float64 `placeholder:"N" help:"Requests a second that it always gets."`
+	Most   *float64 `placeholder:"N" help:"Requests a second at most; 0 = no such limit."`
+	Weight *float64 `placeholder:"N" help:"Its part of what others leave."`
+	Burst  *float64 `placeholder:"S" help:"Seconds of these that may be saved up."`
+	Open   *int     `placeholder:"N" help:"Requests at once; 0 = no such limit."`
+	Bytes  *int64   `placeholder:"N" help:"Bytes of requests in hand; 0 = no such limit."`
+}
+
+// set changes the limits that are named.
+func (f limitFlags) set(l *admin.Limits) {
+	for _, x := range []struct {
+		from *float64
+		to   *float64
+	}{{f.Floor, &l.Floor}, {f.Most, &l.Most}, {f.Weight, &l.Weight}, {f.Burst, &l.Burst}} {
+		if x.from != nil {
+			*x.to = *x.from
+		}
+	}
+	if f.Open != nil {
+		l.Open = *f.Open
+	}
+	if f.Bytes != nil {
+		l.Bytes = *f.Bytes
+	}
+}
+
+type oneTenant struct {
+	Name string `arg:"" help:"The tenant."`
+}
+
+// tenantCmd are the commands on tenants, by a router's API.
+type tenantCmd struct {
+	URL       string `default:"http://127.0.0.1:8443" help:"The API's address."`
+	TokenFile string `placeholder:"FILE" help:"The token; COTTONYOKE_TOKEN by default."`
+	IfVersion uint64 `placeholder:"N" help:"Change nothing unless the tenant is of this version."`
+	JSON      bool   `help:"Write what the API says."`
+
+	List   struct{}  `cmd:"" help:"Show all tenants."`
+	Show   oneTenant `cmd:"" help:"Show one."`
+	Create struct {
+		oneTenant
+		limitFlags
+	} `cmd:"" help:"Make one."`
+	Set struct {
+		oneTenant
+		limitFlags
+	} `cmd:"" help:"Change the limits that are named; the others stay."`
+	Suspend oneTenant `cmd:"" help:"Take nothing of it."`
+	Resume  oneTenant `cmd:"" help:"Take its requests again."`
+	Delete  oneTenant `cmd:"" help:"End it, with its callers and their secrets."`
+	Usage   oneTenant `cmd:"" help:"Show what it asked of this router in the last hour, by minute."`
+	Watch   struct {
+		From uint64 `help:"Changes above this version of the book."`
+	} `cmd:"" help:"Show changes as they come, a line of JSON each."`
+}
+
+// run carries out the subcommand of that name.
+func (c *tenantCmd) run(name string) error {
+	token := os.Getenv("COTTONYOKE_TOKEN")
+	if c.TokenFile != "" {
+		text, err := os.ReadFile(c.TokenFile)
+		if err != nil {
+			return err
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	if token == "" {
+		return errors.New("--token-file: missing, and COTTONYOKE_TOKEN is not set; cottonyoke admin token makes one")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	k := admin.Client{URL: strings.TrimSuffix(c.URL, "/"), Token: token, JSON: c.JSON, Out: os.Stdout}
+	suspended := func(on bool) func(*admin.Spec) { return func(s *admin.Spec) { s.Suspended = on } }
+	switch name {
+	case "show":
+		return k.Show(ctx, c.Show.Name)
+	case "create":
+		var l admin.Limits
+		c.Create.set(&l)
+		return k.Create(ctx, c.Create.Name, l)
+	case "set":
+		return k.Change(ctx, c.Set.Name, c.IfVersion, func(s *admin.Spec) { c.Set.set(&s.Limits) })
+	case "suspend":
+		return k.Change(ctx, c.Suspend.Name, c.IfVersion, suspended(true))
+	case "resume":
+		return k.Change(ctx, c.Resume.Name, c.IfVersion, suspended(false))
+	case "delete":
+		return k.Delete(ctx, c.Delete.Name, c.IfVersion)
+	case "usage":
+		return k.Usage(ctx, c.Usage.Name)
+	case "watch":
+		return k.Watch(ctx, c.Watch.From)
+	}
+	return k.List(ctx)
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -28,7 +28,9 @@
 	Tokens *Tokens
 	// Publish brings the store's book to the routers and waits until its version is in force here, or ctx ends.
 	Publish func(ctx context.Context, version uint64) error
-	Log     *slog.Logger
+	// Usage is what a tenant asked of this router in the last hour, by minute.
+	Usage func(name string) []tenant.Minute
+	Log   *slog.Logger
 }
 
 // Bounds of the API.
@@ -65,7 +67,9 @@
 
 // Serve serves the API until ctx ends, and answers what it has taken.
 func (a *API) Serve(ctx context.Context, ln net.Listener) error {
-	srv := &http.Server{Handler: http.MaxBytesHandler(a.mux, maxBody), ReadHeaderTimeout: headTime, ReadTimeout: 2 * headTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10,
+	life, over := context.WithCancel(context.WithoutCancel(ctx)) // of calls: watches end with it, changes go on
+	defer over()
+	srv := &http.Server{Handler: http.MaxBytesHandler(a.mux, maxBody), BaseContext: func(net.Listener) context.Context { return life }, ReadHeaderTimeout: headTime, ReadTimeout: 2 * headTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(a.o.Log.Handler(), slog.LevelWarn)}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(ln) }()
@@ -74,9 +78,13 @@
 		return fmt.Errorf("administration: %w", err)
 	case <-ctx.Done():
 	}
-	end, stop := context.WithTimeout(context.Background(), forceWithin)
+	over()
+	end, stop := context.WithTimeout(context.Background(), 2*forceWithin)
 	defer stop()
 	err := srv.Shutdown(end)
+	if err != nil {
+		srv.Close() //nolint:errcheck // what is left of it
+	}
 	<-ended
 	return err
 }
@@ -179,7 +187,9 @@
 	huma.Get(a.huma, "/v1/tenants/{name}", a.get)
 	huma.Put(a.huma, "/v1/tenants/{name}", a.put)
 	huma.Delete(a.huma, "/v1/tenants/{name}", a.remove)
+	huma.Get(a.huma, "/v1/tenants/{name}/usage", a.usage)
 	huma.Get(a.huma, "/v1/audit", a.audit)
+	huma.Get(a.huma, "/v1/watch", a.watch)
 }
 
 func (a *API) list(_ context.Context, p *page) (*pageAnswer, error) {
@@ -257,6 +267,57 @@
 	return &records{"application/x-ndjson", []byte(b.String())}, nil
 }
 
+// Usage is a minute's requests of a tenant at this router, by where they stood with its limits.
+type Usage struct {
+	Minute    time.Time `json:"minute"`
+	Within    uint64    `json:"within"`
+	Borrowed  uint64    `json:"borrowed"`
+	Over      uint64    `json:"over"`
+	Beyond    uint64    `json:"beyond"`
+	Suspended uint64    `json:"suspended"`
+}
+
+type usageAnswer struct {
+	Body struct {
+		Minutes []Usage `json:"minutes" doc:"Those of the last hour with any request, oldest first."`
+	}
+}
+
+func (a *API) usage(_ context.Context, in *Named) (*usageAnswer, error) {
+	if t, err := a.o.Keeper.Tenant(in.Name); err != nil {
+		return nil, problem(err)
+	} else if t.Version == 0 {
+		return nil, huma.Error404NotFound("there is no tenant of that name")
+	}
+	out := &usageAnswer{}
+	out.Body.Minutes = []Usage{}
+	for _, m := range a.o.Usage(in.Name) {
+		c := m.Counts
+		out.Body.Minutes = append(out.Body.Minutes, Usage{time.Unix(60*m.At, 0).UTC(), c[tenant.Within], c[tenant.Borrowed], c[tenant.Over], c[tenant.Beyond], c[tenant.Suspended]})
+	}
+	return out, nil
+}
+
+// maxWait bounds a watch, in s: what stands between may end it any time.
+const maxWait = 30
+
+// watch gives the audit's records above a version of the book, and waits for one where there is none yet.
+func (a *API) watch(ctx context.Context, in *struct {
+	From uint64 `query:"from" doc:"The version of the book that is known already."`
+	Wait int    `query:"wait_s" default:"20" minimum:"0" maximum:"30" doc:"For which a change is waited for."`
+}) (*records, error) {
+	ctx, stop := context.WithTimeout(ctx, time.Duration(min(in.Wait, maxWait))*time.Second)
+	defer stop()
+	if err := a.o.Keeper.Await(ctx, in.From); err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+		return nil, problem(err)
+	}
+	var b strings.Builder
+	if err := a.o.Keeper.Audit(&b, in.From); err != nil {
+		return nil, problem(err)
+	}
+	return &records{"application/x-ndjson", []byte(b.String())}, nil
+}
+
 // publish has a change in force, or says that it is made and not in force yet.
 func (a *API) publish(ctx context.Context, version uint64) error {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), forceWithin) // an admin who leaves takes nothing back
--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,236 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+// Client calls the API of a router for the commands.
+type Client struct {
+	URL   string // as http://127.0.0.1:8443
+	Token string
+	JSON  bool // write what came as it is
+	Out   io.Writer
+}
+
+// maxAnswer bounds what is read of an answer, in bytes.
+const maxAnswer = 64 << 20
+
+// problemBody is an error as the API tells it (RFC 9457).
+type problemBody struct {
+	Detail string `json:"detail"`
+	Errors []struct {
+		Location string `json:"location"`
+		Message  string `json:"message"`
+		Value    any    `json:"value"`
+	} `json:"errors"`
+}
+
+// call makes a call. An error is what the API says, with the field that is wrong.
+func (c Client) call(ctx context.Context, method, path, condition string, body, into any) (text []byte, err error) {
+	var in io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		in = bytes.NewReader(b)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, c.URL+path, in)
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Authorization", "Bearer "+c.Token)
+	q.Header.Set("Content-Type", "application/json")
+	switch condition {
+	case "":
+	case "*":
+		q.Header.Set("If-None-Match", "*")
+	default:
+		q.Header.Set("If-Match", condition)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	if text, err = io.ReadAll(io.LimitReader(r.Body, maxAnswer)); err != nil {
+		return nil, err
+	}
+	if r.StatusCode/100 != 2 {
+		return nil, problemOf(r.Status, text)
+	}
+	if into == nil {
+		return text, nil
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return nil, fmt.Errorf("%s: no answer of the administration API: %w", c.URL, err)
+	}
+	return text, nil
+}
+
+func problemOf(status string, text []byte) error {
+	var p problemBody
+	if json.Unmarshal(text, &p) != nil || p.Detail == "" {
+		return fmt.Errorf("%s", status)
+	}
+	out := p.Detail
+	for _, e := range p.Errors {
+		out += fmt.Sprintf("; %s: %s", e.Location, e.Message)
+		if e.Value != nil {
+			out += fmt.Sprintf(" (%v)", e.Value)
+		}
+	}
+	return fmt.Errorf("%s", out)
+}
+
+func tenantPath(name string) string { return "/v1/tenants/" + url.PathEscape(name) }
+
+// show writes tenants as a table, or what came.
+func (c Client) show(text []byte, tenants ...Tenant) error {
+	if c.JSON {
+		_, err := fmt.Fprintf(c.Out, "%s\n", bytes.TrimSpace(text))
+		return err
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "TENANT\tGENERATION\tSTATE\tFLOOR/s\tMOST/s\tWEIGHT\tOPEN\tBYTES\tVERSION\n")
+	for _, t := range tenants {
+		state := "active"
+		if t.Suspended {
+			state = "suspended"
+		}
+		l := t.Limits
+		fmt.Fprintf(w, "%s\t%d\t%s\t%v\t%v\t%v\t%d\t%d\t%d\n", t.Name, t.Generation, state, l.Floor, l.Most, max(l.Weight, 0), l.Open, l.Bytes, t.Version)
+	}
+	return w.Flush()
+}
+
+// List writes all tenants, page by page.
+func (c Client) List(ctx context.Context) error {
+	var all []Tenant
+	for after := ""; ; {
+		var p pageAnswer
+		text, err := c.call(ctx, http.MethodGet, "/v1/tenants?limit="+strconv.Itoa(maxPage)+"&after="+url.QueryEscape(after), "", nil, &p.Body)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			if err := c.show(text); err != nil {
+				return err
+			}
+		}
+		all = append(all, p.Body.Tenants...)
+		if after = p.Body.Next; after == "" {
+			break
+		}
+	}
+	if c.JSON {
+		return nil
+	}
+	return c.show(nil, all...)
+}
+
+// Show writes one tenant.
+func (c Client) Show(ctx context.Context, name string) error {
+	var t Tenant
+	text, err := c.call(ctx, http.MethodGet, tenantPath(name), "", nil, &t)
+	if err != nil {
+		return err
+	}
+	return c.show(text, t)
+}
+
+// Create makes a tenant.
+func (c Client) Create(ctx context.Context, name string, l Limits) error {
+	var t Tenant
+	text, err := c.call(ctx, http.MethodPut, tenantPath(name), "*", Spec{Limits: l}, &t)
+	if err != nil {
+		return err
+	}
+	return c.show(text, t)
+}
+
+// Change reads a tenant, changes it and writes it back, conditioned by what was read; version is one that it must be of, 0 = any.
+func (c Client) Change(ctx context.Context, name string, version uint64, change func(*Spec)) error {
+	var t Tenant
+	if _, err := c.call(ctx, http.MethodGet, tenantPath(name), "", nil, &t); err != nil {
+		return err
+	}
+	if version == 0 {
+		version = t.Version
+	}
+	change(&t.Spec)
+	text, err := c.call(ctx, http.MethodPut, tenantPath(name), etag(version), t.Spec, &t)
+	if err != nil {
+		return err
+	}
+	return c.show(text, t)
+}
+
+// Delete ends the tenant of a version; 0 = whichever there is.
+func (c Client) Delete(ctx context.Context, name string, version uint64) error {
+	if version == 0 {
+		var t Tenant
+		if _, err := c.call(ctx, http.MethodGet, tenantPath(name), "", nil, &t); err != nil {
+			return err
+		}
+		version = t.Version
+	}
+	_, err := c.call(ctx, http.MethodDelete, tenantPath(name), etag(version), nil, nil)
+	return err
+}
+
+// Usage writes a tenant's minutes.
+func (c Client) Usage(ctx context.Context, name string) error {
+	var u usageAnswer
+	text, err := c.call(ctx, http.MethodGet, tenantPath(name)+"/usage", "", nil, &u.Body)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.show(text)
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "MINUTE\tWITHIN\tBORROWED\tOVER\tBEYOND\tSUSPENDED\n")
+	for _, m := range u.Body.Minutes {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\n", m.Minute.Format("15:04"), m.Within, m.Borrowed, m.Over, m.Beyond, m.Suspended)
+	}
+	return w.Flush()
+}
+
+// Watch writes the records of changes above a version of the book as they come, until ctx ends.
+func (c Client) Watch(ctx context.Context, from uint64) error {
+	for ctx.Err() == nil {
+		text, err := c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?wait_s=%d&from=%d", maxWait, from), "", nil, nil)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for line := range bytes.Lines(text) {
+			var r struct {
+				Version uint64 `json:"version"`
+			}
+			if err := json.Unmarshal(line, &r); err != nil {
+				return fmt.Errorf("%s: %w", c.URL, err)
+			}
+			from = max(from, r.Version)
+		}
+		if _, err := c.Out.Write(text); err != nil {
+			return err
+		}
+		if len(text) == 0 {
+			time.Sleep(100 * time.Millisecond) // a router that ends answers at once
+		}
+	}
+	return nil
+}
--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -83,6 +83,13 @@
 	return s.version, s.epoch
 }
 
+// SetClasses has the rights file name other classes from its next change on, as those of the configuration have changed.
+func (s *Source) SetClasses(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Classes = names
+}
+
 // Tenants are those of the book in use with their limits, and what Version gives as epoch. They must not be changed.
 func (s *Source) Tenants() (epoch uint64, names []caller.Tenant, limits map[string]tenant.Limits) {
 	s.mu.Lock()
--- a/internal/keybook/tenants.go
+++ b/internal/keybook/tenants.go
@@ -1,6 +1,7 @@
 package keybook
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
@@ -36,6 +37,20 @@
 	return v, err
 }
 
+// Await waits until the book's version is above one, or ctx ends.
+func (k *Keeper) Await(ctx context.Context, above uint64) error {
+	for {
+		w := k.s.Watch(k.s.Version()) // ahead of the look, so that no change falls between
+		v, err := k.Version()
+		if err != nil || v > above {
+			return err
+		}
+		if _, err := w.Next(ctx); err != nil && !errors.Is(err, store.ErrTooOld) {
+			return err
+		}
+	}
+}
+
 // Tenant gives one; its Version is 0 where there is none.
 func (k *Keeper) Tenant(name string) (Tenant, error) {
 	row, version, err := tenantAt(k.s, name)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,7 @@
 	TLS     net.Listener                             // for clients of the pool's own protocol whose links have TLS; nil = none come
 	Links   backend.TLS                              // of links to servers and origin; nil = they are plain
 	Book    func() (epoch uint64, t *config.Tenants) // limits of tenants that change by themselves, and how often they did; nil = Tenants has them
+	Usage   *Usage                                   // counts what tenants with limits ask; nil = nobody does
 	InForce func(epoch uint64)                       // told of each such change that counts on all engines
 	Gate    *identity.Gate                           // settles who calls; nil = nobody is asked
 }
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -24,6 +24,7 @@
 	counted map[*engine.Request]booked
 	portion float64 // when it was set
 	off     bool    // nobody has limits
+	usage   *Usage  // nil = nobody asks
 }
 
 // booked is what a request has been counted as.
@@ -37,7 +38,7 @@
 	if cfg.Tenants == nil && cfg.Book == nil {
 		return nil
 	}
-	l := &limits{handles: map[string]tenant.Handle{}, counted: map[*engine.Request]booked{}}
+	l := &limits{handles: map[string]tenant.Handle{}, counted: map[*engine.Request]booked{}, usage: cfg.Usage}
 	t := cfg.Tenants
 	if cfg.Book != nil {
 		_, t = cfg.Book()
@@ -76,6 +77,9 @@
 			delete(l.handles, name)
 		}
 	}
+	if !l.off {
+		l.usage.keep(named)
+	}
 }
 
 // standings are the module's.
@@ -88,8 +92,8 @@
 		l.portion = now
 		l.book.Portion(now, portion)
 	}
-	h, ok := l.handles[q.Tenant]
-	if !ok {
+	h, named := l.handles[q.Tenant]
+	if !named {
 		h = l.others
 	}
 	class, ok := l.classes[q.Class]
@@ -97,6 +101,9 @@
 		class = -1
 	}
 	v, err := l.book.Arrive(now, h, class, 1, int64(q.Held))
+	if named {
+		l.usage.add(now, q.Tenant, v.Standing)
+	}
 	if l.off {
 		if v.Standing < tenant.Beyond {
 			l.counted[q] = booked{h, class}
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -11,6 +11,7 @@
 	"mossproxy.example/mossproxy/internal/admin"
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/keybook"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/store"
 	"mossproxy.example/mossproxy/internal/store/fsys"
 )
@@ -39,7 +40,7 @@
 		st.Close()
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	a.api = admin.New(admin.Options{Keeper: a.keeper, Tokens: admin.NewTokens(st), Publish: a.publish, Log: slog.Default()})
+	a.api = admin.New(admin.Options{Keeper: a.keeper, Tokens: admin.NewTokens(st), Publish: a.publish, Usage: s.usage, Log: slog.Default()})
 	version, err := a.keeper.Version()
 	if has, _ := s.known.source.Version(); err == nil && version > has {
 		err = a.export(version)
@@ -52,6 +53,11 @@
 	return a, nil
 }
 
+// usage is what a tenant asked in the last hour here.
+func (s *Service) usage(name string) []tenant.Minute {
+	return s.known.usage.Of(name, float64(time.Now().UnixMilli()))
+}
+
 // run serves the API until ctx ends.
 func (a *administration) run(ctx context.Context) {
 	defer a.store.Close()
--- a/internal/service/admin_test.go
+++ b/internal/service/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -159,6 +160,31 @@
 			t.Errorf("%s: %d %v", name, status, body)
 		}
 	}
+	// What the tenant asked is counted, by where it stood; a watch waits for the next change and gives its record.
+	_, _, use := o.call("GET", "/v1/tenants/a/usage", "read", "", nil)
+	beyond := 0.0
+	for _, m := range use["minutes"].([]any) {
+		beyond += m.(map[string]any)["beyond"].(float64)
+	}
+	if int(beyond) != 30-taken {
+		t.Errorf("%v beyond, %d of 30 were taken: %v", beyond, taken, use)
+	}
+	_, _, body = o.call("GET", "/v1/tenants", "read", "", nil)
+	from := uint64(body["version"].(float64))
+	if status, _, none := o.call("GET", fmt.Sprintf("/v1/watch?wait_s=0&from=%d", from), "read", "", nil); status != 200 || none["text"] != "" {
+		t.Errorf("nothing has changed: %d %q", status, none)
+	}
+	came := make(chan string, 1)
+	go func() {
+		_, _, news := o.call("GET", fmt.Sprintf("/v1/watch?from=%d", from), "read", "", nil)
+		came <- fmt.Sprint(news["text"])
+	}()
+	if status, _, body := o.call("PUT", "/v1/tenants/watched", "all", "*", spec{}); status != 200 {
+		t.Fatal(status, body)
+	}
+	if got := standintest.Next(t, came, "news"); !strings.Contains(got, `"name":"watched"`) || strings.Count(got, "\n") != 1 {
+		t.Errorf("the watch: %q", got)
+	}
 	if err := admin.NewTokens(o.s.admin.store).Revoke("t1"); err != nil {
 		t.Fatal(err)
 	}
@@ -291,3 +317,48 @@
 		tag = next
 	}
 }
+
+// The commands do by the API what they say; one that is made on an old version changes nothing and says which there is.
+func TestTenantCommands(t *testing.T) {
+	o := startOffice(t)
+	var out bytes.Buffer
+	k := admin.Client{URL: "http://" + o.s.admin.ln.Addr().String(), Token: o.tokens[admin.RightAll], Out: &out}
+	ctx := t.Context()
+	do := func(err error, want string) {
+		t.Helper()
+		if err != nil || !strings.Contains(out.String(), want) {
+			t.Errorf("%v, %q is not in:\n%s", err, want, &out)
+		}
+		out.Reset()
+	}
+	do(k.Create(ctx, "new", admin.Limits{Floor: 5}), "new     1           active  5")
+	do(k.Change(ctx, "new", 0, func(s *admin.Spec) { s.Limits.Most = 9 }), "active  5        9")
+	do(k.Change(ctx, "new", 0, func(s *admin.Spec) { s.Suspended = true }), "suspended")
+	do(k.List(ctx), "c       1           active")
+	do(k.Usage(ctx, "new"), "MINUTE")
+	if err := k.Change(ctx, "new", 1, func(*admin.Spec) {}); err == nil || !strings.Contains(err.Error(), "another change came first: it is of version") {
+		t.Errorf("an old version: %v", err)
+	}
+	if err := k.Create(ctx, "bad", admin.Limits{Floor: 5, Most: 1}); err == nil || !strings.Contains(err.Error(), "body.limits.most: 1: not below the floor of 5") {
+		t.Errorf("a wrong field: %v", err)
+	}
+	do(k.Delete(ctx, "new", 0), "")
+	if err := k.Show(ctx, "new"); err == nil || !strings.Contains(err.Error(), "no tenant") {
+		t.Error(err)
+	}
+	life, stop := context.WithCancel(ctx)
+	k.Out = writer(func(b []byte) { out.Write(b); stop() })
+	do(k.Watch(life, 1), `"what":"tenant delete","name":"new"`)
+	k.Out, k.Token = &out, "wrong"
+	if err := k.List(ctx); err == nil || !strings.Contains(err.Error(), "is needed") {
+		t.Error(err)
+	}
+}
+
+// writer is told of each write.
+type writer func([]byte)
+
+func (w writer) Write(b []byte) (int, error) {
+	w(b)
+	return len(b), nil
+}
--- a/internal/service/callers.go
+++ b/internal/service/callers.go
@@ -8,12 +8,14 @@
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/keybook"
+	"mossproxy.example/mossproxy/internal/router"
 )
 
 // known is who may call: one gate for all pools, and the files that its book is made of.
 type known struct {
 	gate   *identity.Gate
 	source *keybook.Source
+	usage  *router.Usage
 }
 
 // openKnown opens the book of callers; nil where the configuration asks nobody.
@@ -33,7 +35,7 @@
 	if n := f.Pools[0].Checked.Config.Routers; n > 0 {
 		o.Portion = 1 / float64(n)
 	}
-	k := &known{gate: identity.NewGate(o)}
+	k := &known{gate: identity.NewGate(o), usage: router.NewUsage()}
 	var err error
 	k.source, err = keybook.Open(SourceConfig(f), k.gate, slog.Default())
 	return k, err
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -88,7 +88,7 @@
 	p := &pool{setup: setup, servers: servers, updates: make(chan router.Setup)}
 	if cfg.Callers != nil {
 		p.setup.Gate = k.gate
-		p.setup.InForce = p.inForce.Store
+		p.setup.InForce, p.setup.Usage = p.inForce.Store, k.usage
 		if cfg.Tenants == nil {
 			p.setup.Book = k.limits
 		}
@@ -262,6 +262,9 @@
 		changed++
 	}
 	t.s.file = next
+	if t.s.known != nil {
+		t.s.known.source.SetClasses(next.Classes())
+	}
 	slog.Info("configuration: taken", "changed", changed, "pools", len(setups))
 	return nil
 }
