Keys of callers that would climb out of their space at an origin are not taken

Cause: a tenant's key is the origin's path behind its space, and an origin that resolves dots would read /a.1:x/../../b.1:k as another tenant's key. Found in reading the whole change once more.

Change: where a pool has an origin, a key with a part of one or two dots between slashes is not taken (CLIENT_ERROR key: …).

--- a/internal/pure/tenant/space.go
+++ b/internal/pure/tenant/space.go
@@ -65,6 +65,17 @@
 	return hex.EncodeToString(sum[:16])
 }
 
+// CheckPath says whether a key may stand in the path of a URL behind a space: one with a segment of one or two dots would lead out of it
+// at an origin that resolves them (RFC 3986, 5.2.4).
+func CheckPath(key string) error {
+	for part := range strings.SplitSeq(key, "/") {
+		if part == "." || part == ".." {
+			return fmt.Errorf("key: no part between slashes may be %s", part)
+		}
+	}
+	return nil
+}
+
 // SlotKey is a tenant's key as the servers of a cluster of slots know it: as Key, with a hash tag ahead that gives it the slot that
 // the tenant's own key has, as its clients count. tag is that tag, without braces.
 func (s Space) SlotKey(key, tag string, most int) (string, error) {
--- a/internal/router/callers.go
+++ b/internal/router/callers.go
@@ -9,6 +9,7 @@
 	protocol "mossproxy.example/mossproxy/internal/proto/meta"
 	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/pure/slots"
+	"mossproxy.example/mossproxy/internal/pure/tenant"
 )
 
 // recheckEvery is how often connections are looked at for callers that are withdrawn. A connection that asks learns of it at once.
@@ -42,10 +43,20 @@
 // slot that the caller counts. The longest is that of the meta dialect, as clients of both may come to one pool.
 func (s Setup) keys() func(p *caller.Pass, key string) (string, error) {
 	if s.cluster == nil {
-		return func(p *caller.Pass, key string) (string, error) { return p.Space.Key(key, protocol.MaxKey) }
+		return func(p *caller.Pass, key string) (string, error) {
+			if err := tenant.CheckPath(key); err != nil { // it is the origin's path too
+				return "", err
+			}
+			return p.Space.Key(key, protocol.MaxKey)
+		}
 	}
-	tags := slots.NewTags()
+	tags, origin := slots.NewTags(), s.RESP.Origin != ""
 	return func(p *caller.Pass, key string) (string, error) {
+		if origin {
+			if err := tenant.CheckPath(key); err != nil {
+				return "", err
+			}
+		}
 		return p.Space.SlotKey(key, tags.Of(slots.Of([]byte(key))), protocol.MaxKey)
 	}
 }
