--- a/internal/keybook/store.go
+++ b/internal/keybook/store.go
@@ -141,6 +141,15 @@
 	return r, true, json.Unmarshal(item.Value, &r)
 }
 
+// there is get for a row that must be there.
+func there[R any](s getter, prefix, kind, name string) (R, error) {
+	r, ok, err := get[R](s, prefix+name)
+	if err == nil && !ok {
+		err = fmt.Errorf("%s %.60q: %w", kind, name, ErrNoSuch)
+	}
+	return r, err
+}
+
 // change is one atomic change of a book.
 type change struct {
 	what, name string
@@ -225,13 +234,10 @@
 // retired stays so, as the reason for it may be that somebody else has the key.
 func (k *Keeper) SetLife(expected uint64, id, what string, set func(l *caller.Life)) (uint64, error) {
 	return k.commit(expected, func(s getter) (change, error) {
-		row, there, err := get[keyRow](s, keyPrefix+id)
+		row, err := there[keyRow](s, keyPrefix, "key", id)
 		if err != nil {
 			return change{}, err
 		}
-		if !there {
-			return change{}, fmt.Errorf("key %.60q: %w", id, ErrNoSuch)
-		}
 		now := float64(k.now().UnixMicro()) / 1000
 		was := caller.Life{Active: ms(row.Active), Retiring: ms(row.Retiring), Retired: ms(row.Retired), Revoked: ms(row.Revoked)}
 		is := was
@@ -288,10 +294,7 @@
 // SuspendTenant has a tenant's callers not taken, or taken again.
 func (k *Keeper) SuspendTenant(expected uint64, name string, on bool) (uint64, error) {
 	return k.commit(expected, func(s getter) (change, error) {
-		row, there, err := get[tenantRow](s, tenantPrefix+name)
-		if err == nil && !there {
-			err = fmt.Errorf("tenant %.60q: %w", name, ErrNoSuch)
-		}
+		row, err := there[tenantRow](s, tenantPrefix, "tenant", name)
 		if err != nil {
 			return change{}, err
 		}
@@ -311,10 +314,7 @@
 		expected = b.Version // what goes with it is what is there now
 	}
 	return k.commit(expected, func(s getter) (change, error) {
-		row, there, err := get[tenantRow](s, tenantPrefix+name)
-		if err == nil && !there {
-			err = fmt.Errorf("tenant %.60q: %w", name, ErrNoSuch)
-		}
+		row, err := there[tenantRow](s, tenantPrefix, "tenant", name)
 		if err != nil {
 			return change{}, err
 		}
@@ -381,10 +381,7 @@
 		expected = b.Version
 	}
 	return k.commit(expected, func(s getter) (change, error) {
-		row, there, err := get[callerRow](s, callerPrefix+name)
-		if err == nil && !there {
-			err = fmt.Errorf("caller %.60q: %w", name, ErrNoSuch)
-		}
+		row, err := there[callerRow](s, callerPrefix, "caller", name)
 		if err != nil {
 			return change{}, err
 		}
