--- a/cmd/cottonyoke/tenant.go
+++ b/cmd/cottonyoke/tenant.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/signal"
+	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -17,11 +20,15 @@
 	Weight *float64 `placeholder:"N" help:"Its part of what others leave."`
 	Burst  *float64 `placeholder:"S" help:"Seconds of these that may be saved up."`
 	Open   *int     `placeholder:"N" help:"Requests at once; 0 = no such limit."`
-	Bytes  *int64   `placeholder:"N" help:"Bytes of requests in hand; 0 = no such limit."`
+	Bytes  *int64   `placeholder:"N" help:"Bytes of requests in hand and answers not taken; 0 = no such limit."`
+	Conns  *int     `name:"connections" placeholder:"N" help:"Connections of its clients; 0 = no such limit."`
+
+	Pools []string `placeholder:"POOL" help:"Pools that it may use; all = every one."`
+	Class []string `placeholder:"CLASS=PER_S[/OPEN]" help:"Limits on one class, which take the place of those it had; 0 = none. May be repeated."`
 }
 
 // set changes the limits that are named.
-func (f limitFlags) set(l *admin.Limits) {
+func (f limitFlags) set(l *admin.Limits) error {
 	for _, x := range []struct {
 		from *float64
 		to   *float64
@@ -36,6 +43,45 @@
 	if f.Bytes != nil {
 		l.Bytes = *f.Bytes
 	}
+	if f.Conns != nil {
+		l.Conns = *f.Conns
+	}
+	for _, text := range f.Class {
+		c, err := classLimit(text)
+		if err != nil {
+			return err
+		}
+		l.Classes = slices.DeleteFunc(l.Classes, func(x admin.ClassLimits) bool { return x.Class == c.Class })
+		if c.Most != 0 || c.Open != 0 {
+			l.Classes = append(l.Classes, c)
+		}
+	}
+	return nil
+}
+
+// classLimit reads CLASS=PER_S[/OPEN].
+func classLimit(text string) (c admin.ClassLimits, err error) {
+	name, rest, ok := strings.Cut(text, "=")
+	most, open, both := strings.Cut(rest, "/")
+	c.Class = name
+	if c.Most, err = strconv.ParseFloat(most, 64); err == nil && both {
+		c.Open, err = strconv.Atoi(open)
+	}
+	if !ok || name == "" || err != nil {
+		return c, fmt.Errorf("--class: %q: CLASS=PER_S or CLASS=PER_S/OPEN is right", text)
+	}
+	return c, nil
+}
+
+// spec changes what is named of a tenant.
+func (f limitFlags) spec(s *admin.Spec) error {
+	switch {
+	case len(f.Pools) == 1 && f.Pools[0] == "all":
+		s.Pools = nil
+	case len(f.Pools) > 0:
+		s.Pools = f.Pools
+	}
+	return f.set(&s.Limits)
 }
 
 type oneTenant struct {
@@ -84,16 +130,20 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	k := admin.Client{URL: strings.TrimSuffix(c.URL, "/"), Token: token, JSON: c.JSON, Out: os.Stdout}
-	suspended := func(on bool) func(*admin.Spec) { return func(s *admin.Spec) { s.Suspended = on } }
+	suspended := func(on bool) func(*admin.Spec) error {
+		return func(s *admin.Spec) error { s.Suspended = on; return nil }
+	}
 	switch name {
 	case "show":
 		return k.Show(ctx, c.Show.Name)
 	case "create":
-		var l admin.Limits
-		c.Create.set(&l)
-		return k.Create(ctx, c.Create.Name, l)
+		var s admin.Spec
+		if err := c.Create.spec(&s); err != nil {
+			return err
+		}
+		return k.Create(ctx, c.Create.Name, s)
 	case "set":
-		return k.Change(ctx, c.Set.Name, c.IfVersion, func(s *admin.Spec) { c.Set.set(&s.Limits) })
+		return k.Change(ctx, c.Set.Name, c.IfVersion, c.Set.spec)
 	case "suspend":
 		return k.Change(ctx, c.Suspend.Name, c.IfVersion, suspended(true))
 	case "resume":
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -30,7 +30,11 @@
 	Publish func(ctx context.Context, version uint64) error
 	// Usage is what a tenant asked of this router in the last hour, by minute.
 	Usage func(name string) []tenant.Minute
-	Log   *slog.Logger
+	// InHand is how many requests of one of the tenants of a name are taken and not answered at this router.
+	InHand func(name string, generation uint32) int
+	// Classes and Pools are those of the configuration.
+	Classes, Pools []string
+	Log            *slog.Logger
 }
 
 // Bounds of the API.
@@ -96,13 +100,34 @@
 	Burst  float64 `json:"burst_s,omitempty" minimum:"0" maximum:"60" doc:"Seconds of floor and hard rates that may be saved up; 0 counts as 1."`
 	Most   float64 `json:"most_per_s,omitempty" minimum:"0" doc:"Requests a second, not below the floor; 0 = no such limit."`
 	Open   int     `json:"open,omitempty" minimum:"0" doc:"Requests at once; 0 = no such limit."`
-	Bytes  int64   `json:"bytes,omitempty" minimum:"0" doc:"Bytes of requests in hand; 0 = no such limit."`
+	Bytes  int64   `json:"bytes,omitempty" minimum:"0" doc:"Bytes of requests in hand and of answers not taken yet; 0 = no such limit."`
+	Conns  int     `json:"connections,omitempty" minimum:"0" doc:"Connections of its clients; 0 = no such limit."`
+
+	Classes []ClassLimits `json:"classes,omitempty" maxItems:"64" doc:"Limits on requests of one class, beside those on all."`
+}
+
+// ClassLimits are those on requests of one class.
+type ClassLimits struct {
+	Class string  `json:"class" doc:"One of the configuration's."`
+	Most  float64 `json:"most_per_s,omitempty" minimum:"0" doc:"Requests a second; 0 = no such limit."`
+	Open  int     `json:"open,omitempty" minimum:"0" doc:"Requests at once; 0 = no such limit."`
 }
 
 // Spec is what an admin says of a tenant.
 type Spec struct {
-	Suspended bool   `json:"suspended,omitempty" doc:"Nothing of it is taken."`
-	Limits    Limits `json:"limits,omitempty"`
+	Suspended bool     `json:"suspended,omitempty" doc:"Nothing of it is taken."`
+	Pools     []string `json:"pools,omitempty" maxItems:"64" doc:"The pools that it may use; missing = all."`
+	Limits    Limits   `json:"limits,omitempty"`
+}
+
+// terms are what the book keeps of it.
+func (s *Spec) terms() keybook.Terms {
+	l := s.Limits
+	t := keybook.Terms{Limits: tenant.Limits{Floor: l.Floor, Weight: l.Weight, Burst: l.Burst, Most: l.Most, Open: l.Open, Bytes: l.Bytes, Conns: l.Conns}, Pools: s.Pools}
+	for _, c := range l.Classes {
+		t.ByClass = append(t.ByClass, keybook.ClassTerms{Class: c.Class, ClassLimits: tenant.ClassLimits{Most: c.Most, Open: c.Open}})
+	}
+	return t
 }
 
 // Tenant is a tenant as the API shows it.
@@ -114,7 +139,11 @@
 }
 
 func shown(t keybook.Tenant) Tenant {
-	return Tenant{t.Name, t.Generation, Spec{t.Suspended, Limits{t.Floor, t.Weight, t.Burst, t.Most, t.Open, t.Bytes}}, t.Version}
+	l := Limits{Floor: t.Floor, Weight: t.Weight, Burst: t.Burst, Most: t.Most, Open: t.Open, Bytes: t.Bytes, Conns: t.Conns}
+	for _, c := range t.ByClass {
+		l.Classes = append(l.Classes, ClassLimits{c.Class, c.Most, c.Open})
+	}
+	return Tenant{t.Name, t.Generation, Spec{t.Suspended, t.Pools, l}, t.Version}
 }
 
 type tenantAnswer struct {
@@ -170,9 +199,17 @@
 	}
 }
 
-type changed struct {
+type deleted struct {
+	Body struct {
+		Version    uint64 `json:"version" doc:"Of the book in force."`
+		Generation uint32 `json:"generation" doc:"Of the tenant that was deleted: what its ending is asked by."`
+		InHand     int    `json:"in_hand" doc:"Its requests that were taken and are not answered yet, at this router. Nothing new is taken."`
+	}
+}
+
+type ending struct {
 	Body struct {
-		Version uint64 `json:"version" doc:"Of the book in force."`
+		InHand int `json:"in_hand" doc:"Requests that are taken and not answered yet, at this router."`
 	}
 }
 
@@ -188,6 +225,7 @@
 	huma.Put(a.huma, "/v1/tenants/{name}", a.put)
 	huma.Delete(a.huma, "/v1/tenants/{name}", a.remove)
 	huma.Get(a.huma, "/v1/tenants/{name}/usage", a.usage)
+	huma.Get(a.huma, "/v1/tenants/{name}/ending", a.ending)
 	huma.Get(a.huma, "/v1/audit", a.audit)
 	huma.Get(a.huma, "/v1/watch", a.watch)
 }
@@ -228,9 +266,11 @@
 	if err != nil {
 		return nil, err
 	}
-	l := in.Body.Limits
-	t, book, err := a.keeper(ctx).PutTenant(keybook.Tenant{Name: in.Name, Suspended: in.Body.Suspended,
-		Limits: tenant.Limits{Floor: l.Floor, Weight: l.Weight, Burst: l.Burst, Most: l.Most, Open: l.Open, Bytes: l.Bytes}}, expected)
+	terms := in.Body.terms()
+	if err := terms.CheckNames(a.o.Classes, a.o.Pools); err != nil {
+		return nil, problem(err)
+	}
+	t, book, err := a.keeper(ctx).PutTenant(keybook.Tenant{Name: in.Name, Suspended: in.Body.Suspended, Terms: terms}, expected)
 	if err != nil {
 		return nil, problem(err)
 	}
@@ -240,7 +280,7 @@
 	return answerOf(t), nil
 }
 
-func (a *API) remove(ctx context.Context, in *Conditioned) (*changed, error) {
+func (a *API) remove(ctx context.Context, in *Conditioned) (*deleted, error) {
 	expected, err := in.expected()
 	if err == nil && expected == 0 {
 		err = huma.Error400BadRequest("a tenant that is not there can't be deleted: say If-Match")
@@ -248,13 +288,47 @@
 	if err != nil {
 		return nil, err
 	}
+	was, err := a.o.Keeper.Tenant(in.Name)
+	if err != nil {
+		return nil, problem(err)
+	}
 	book, err := a.keeper(ctx).RemoveTenant(in.Name, expected)
 	if err != nil {
 		return nil, problem(err)
 	}
-	out := &changed{}
-	out.Body.Version = book
-	return out, a.publish(ctx, book)
+	if err := a.publish(ctx, book); err != nil {
+		return nil, err
+	}
+	out := &deleted{}
+	out.Body.Version, out.Body.Generation = book, was.Generation // the version that was expected is the one that was read, or it had failed
+	out.Body.InHand = a.o.InHand(in.Name, was.Generation)
+	return out, nil
+}
+
+// endingEvery is how often it is looked at whether a tenant's last request is over.
+const endingEvery = 10 * time.Millisecond
+
+// ending tells what one of the tenants of a name has in hand, and waits until that is nothing.
+func (a *API) ending(ctx context.Context, in *struct {
+	Named
+	Generation uint32 `query:"generation" required:"true" minimum:"1" doc:"Which of the tenants of that name."`
+	Wait       int    `query:"wait_s" default:"0" minimum:"0" maximum:"30" doc:"For which the last one is waited for."`
+}) (*ending, error) {
+	ctx, stop := context.WithTimeout(ctx, time.Duration(min(in.Wait, maxWait))*time.Second)
+	defer stop()
+	out := &ending{}
+	t := time.NewTicker(endingEvery)
+	defer t.Stop()
+	for {
+		if out.Body.InHand = a.o.InHand(in.Name, in.Generation); out.Body.InHand == 0 {
+			return out, nil
+		}
+		select {
+		case <-ctx.Done():
+			return out, nil
+		case <-t.C:
+		}
+	}
 }
 
 func (a *API) audit(_ context.Context, in *struct {
@@ -306,10 +380,8 @@
 	From uint64 `query:"from" doc:"The version of the book that is known already."`
 	Wait int    `query:"wait_s" default:"20" minimum:"0" maximum:"30" doc:"For which a change is waited for."`
 }) (*records, error) {
-	ctx, stop := context.WithTimeout(ctx, time.Duration(min(in.Wait, maxWait))*time.Second)
-	defer stop()
-	if err := a.o.Keeper.Await(ctx, in.From); err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
-		return nil, problem(err)
+	if err := a.await(ctx, in.From, time.Now().Add(time.Duration(min(in.Wait, maxWait))*time.Second)); err != nil {
+		return nil, err
 	}
 	var b strings.Builder
 	if err := a.o.Keeper.Audit(&b, in.From); err != nil {
@@ -318,6 +390,30 @@
 	return &records{"application/x-ndjson", []byte(b.String())}, nil
 }
 
+// stillEvery is how often it is looked at, while a call waits, whether its token still counts.
+const stillEvery = time.Second
+
+// await waits until the book's version is above one, until a time, the end of ctx or that of the caller's token.
+func (a *API) await(ctx context.Context, above uint64, until time.Time) error {
+	who, _ := ctx.Value(whoKey{}).(string)
+	for {
+		wait, stop := context.WithTimeout(ctx, min(time.Until(until), stillEvery))
+		err := a.o.Keeper.Await(wait, above)
+		stop()
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+			return problem(err)
+		}
+		switch lives, bad := a.o.Tokens.lives(who); {
+		case bad != nil:
+			return problem(bad)
+		case !lives:
+			return huma.Error401Unauthorized("the token was revoked")
+		case err == nil || ctx.Err() != nil || !time.Now().Before(until):
+			return nil
+		}
+	}
+}
+
 // publish has a change in force, or says that it is made and not in force yet.
 func (a *API) publish(ctx context.Context, version uint64) error {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), forceWithin) // an admin who leaves takes nothing back
@@ -344,7 +440,11 @@
 		return huma.Error409Conflict(err.Error())
 	}
 	if field, what, ok := strings.Cut(err.Error(), ": "); ok && !strings.Contains(field, " ") {
-		return huma.Error422UnprocessableEntity("a field is wrong", &huma.ErrorDetail{Location: "body.limits." + field, Message: what})
+		at := "limits."
+		if strings.HasPrefix(field, "pools") {
+			at = ""
+		}
+		return huma.Error422UnprocessableEntity("a field is wrong", &huma.ErrorDetail{Location: "body." + at + field, Message: what})
 	}
 	return huma.Error500InternalServerError("the store could not do it", err)
 }
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -101,18 +102,26 @@
 		return err
 	}
 	w := tabwriter.NewWriter(c.Out, 0, 8, 2, ' ', 0)
-	fmt.Fprintf(w, "TENANT\tGENERATION\tSTATE\tFLOOR/s\tMOST/s\tWEIGHT\tOPEN\tBYTES\tVERSION\n")
+	fmt.Fprintf(w, "TENANT\tGENERATION\tSTATE\tFLOOR/s\tMOST/s\tWEIGHT\tOPEN\tBYTES\tCONNECTIONS\tPOOLS\tVERSION\n")
 	for _, t := range tenants {
 		state := "active"
 		if t.Suspended {
 			state = "suspended"
 		}
 		l := t.Limits
-		fmt.Fprintf(w, "%s\t%d\t%s\t%v\t%v\t%v\t%d\t%d\t%d\n", t.Name, t.Generation, state, l.Floor, l.Most, max(l.Weight, 0), l.Open, l.Bytes, t.Version)
+		fmt.Fprintf(w, "%s\t%d\t%s\t%v\t%v\t%v\t%d\t%d\t%d\t%s\t%d\n", t.Name, t.Generation, state, l.Floor, l.Most, max(l.Weight, 0), l.Open, l.Bytes, l.Conns, pools(t.Pools), t.Version)
 	}
 	return w.Flush()
 }
 
+// pools names the pools of a tenant for a table.
+func pools(names []string) string {
+	if names == nil {
+		return "all"
+	}
+	return strings.Join(names, ",")
+}
+
 // List writes all tenants, page by page.
 func (c Client) List(ctx context.Context) error {
 	var all []Tenant
@@ -149,9 +158,9 @@
 }
 
 // Create makes a tenant.
-func (c Client) Create(ctx context.Context, name string, l Limits) error {
+func (c Client) Create(ctx context.Context, name string, s Spec) error {
 	var t Tenant
-	text, err := c.call(ctx, http.MethodPut, tenantPath(name), "*", Spec{Limits: l}, &t)
+	text, err := c.call(ctx, http.MethodPut, tenantPath(name), "*", s, &t)
 	if err != nil {
 		return err
 	}
@@ -159,7 +168,7 @@
 }
 
 // Change reads a tenant, changes it and writes it back, conditioned by what was read; version is one that it must be of, 0 = any.
-func (c Client) Change(ctx context.Context, name string, version uint64, change func(*Spec)) error {
+func (c Client) Change(ctx context.Context, name string, version uint64, change func(*Spec) error) error {
 	var t Tenant
 	if _, err := c.call(ctx, http.MethodGet, tenantPath(name), "", nil, &t); err != nil {
 		return err
@@ -167,7 +176,9 @@
 	if version == 0 {
 		version = t.Version
 	}
-	change(&t.Spec)
+	if err := change(&t.Spec); err != nil {
+		return err
+	}
 	text, err := c.call(ctx, http.MethodPut, tenantPath(name), etag(version), t.Spec, &t)
 	if err != nil {
 		return err
@@ -184,7 +195,25 @@
 		}
 		version = t.Version
 	}
-	_, err := c.call(ctx, http.MethodDelete, tenantPath(name), etag(version), nil, nil)
+	var out deleted
+	text, err := c.call(ctx, http.MethodDelete, tenantPath(name), etag(version), nil, &out.Body)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.show(text)
+	}
+	left := out.Body.InHand
+	for left > 0 { // none of them lasts longer than its class allows
+		fmt.Fprintf(c.Out, "%s, generation %d: %d requests in hand\n", name, out.Body.Generation, left)
+		var e ending
+		path := fmt.Sprintf("%s/ending?generation=%d&wait_s=%d", tenantPath(name), out.Body.Generation, maxWait)
+		if _, err := c.call(ctx, http.MethodGet, path, "", nil, &e.Body); err != nil {
+			return err
+		}
+		left = e.Body.InHand
+	}
+	_, err = fmt.Fprintf(c.Out, "%s, generation %d: deleted, and its last request is over\n", name, out.Body.Generation)
 	return err
 }
 
--- a/internal/admin/tokens.go
+++ b/internal/admin/tokens.go
@@ -148,6 +148,15 @@
 	return id, row.Right, nil
 }
 
+// lives says whether a token has not been revoked.
+func (t *Tokens) lives(id string) (bool, error) {
+	_, err := t.s.Get(tokenPrefix + id)
+	if errors.Is(err, store.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // whoKey is the context's key of who calls.
 type whoKey struct{}
 
--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -52,7 +52,7 @@
 				return err
 			}
 		}
-		contents, err := keybook.SourceConfig{Book: c.Book, Rights: c.Rights, Bundle: c.Bundle, Classes: f.Classes(), Policy: c.Policy}.Contents(b, rules, bundle)
+		contents, err := keybook.SourceConfig{Book: c.Book, Rights: c.Rights, Bundle: c.Bundle, Classes: f.Classes(), Pools: f.PoolNames(), Policy: c.Policy}.Contents(b, rules, bundle)
 		if err != nil {
 			return err
 		}
--- a/internal/config/callers.go
+++ b/internal/config/callers.go
@@ -210,3 +210,11 @@
 	}
 	return names
 }
+
+// PoolNames are the names of the pools.
+func (f *File) PoolNames() (names []string) {
+	for _, p := range f.Pools {
+		names = append(names, p.Pool)
+	}
+	return names
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -124,6 +124,7 @@
 	Most      *float64         `toml:"most_per_s"`
 	Open      *int             `toml:"open"`
 	Bytes     *float64         `toml:"bytes_mb"`
+	Conns     *int             `toml:"connections"`
 	Suspended bool             `toml:"suspended"`
 	Classes   []tenantClassRow `toml:"limit"`
 }
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -13,12 +13,14 @@
 	Capacity float64 // requests a second that the service can do; 0 = the sum of the floors
 	Tenants  []TenantLimits
 	Costs    []float64 // of a request of each class, by its number, against rates and floors
+	Off      bool      // none has limits: requests are counted, and held to nothing
 }
 
 // TenantLimits are one tenant's.
 type TenantLimits struct {
-	Name      string
-	Suspended bool
+	Name       string
+	Generation uint32 // 0 = the configuration knows of none
+	Suspended  bool   // here: nothing of it is taken
 	tenant.Limits
 }
 
@@ -30,7 +32,7 @@
 
 // limited says whether a tenant's row has any limit beside its share.
 func (t *tenantKeys) limited() bool {
-	return t.Floor != nil || t.Weight != nil || t.Burst != nil || t.Most != nil || t.Open != nil || t.Bytes != nil || t.Suspended || len(t.Classes) > 0
+	return t.Floor != nil || t.Weight != nil || t.Burst != nil || t.Most != nil || t.Open != nil || t.Bytes != nil || t.Conns != nil || t.Suspended || len(t.Classes) > 0
 }
 
 // limits checks the limits of tenants; nil where none has any. What they hold to counts instead of share_per_s.
@@ -50,11 +52,12 @@
 		l := tenant.Limits{Floor: number(c, at+"floor_per_s", t.Floor, 0, 0, 1e9, " requests a second"),
 			Weight: number(c, at+"weight", t.Weight, 1, 0.001, 1000, ""), Burst: number(c, at+"burst_s", t.Burst, 1, 0.01, 60, " s"),
 			Most: number(c, at+"most_per_s", t.Most, 0, 0, 1e9, " requests a second"), Open: number(c, at+"open", t.Open, 0, 0, 1e6, " requests"),
-			Bytes: int64(number(c, at+"bytes_mb", t.Bytes, 0, 0, 1<<20, " MB") * (1 << 20)), Classes: c.ofClasses(at, t, classes)}
+			Bytes: int64(number(c, at+"bytes_mb", t.Bytes, 0, 0, 1<<20, " MB") * (1 << 20)),
+			Conns: number(c, at+"connections", t.Conns, 0, 0, 1e6, " connections"), Classes: c.ofClasses(at, t, classes)}
 		if err := l.Check(); err != nil {
 			c.bad(at+"most_per_s", "%v", err)
 		}
-		out.Tenants = append(out.Tenants, TenantLimits{t.Name, t.Suspended, l})
+		out.Tenants = append(out.Tenants, TenantLimits{Name: t.Name, Suspended: t.Suspended, Limits: l})
 	}
 	return out
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,6 +58,7 @@
 	ID     string // the client's; no two of the same are open at once
 	Class  string
 	Tenant string
+	Of     uint32 // the generation of the tenant that asks; 0 = nobody has asked who calls
 	Key    string
 	Facts  string // what the client said of the request, as it is passed on
 	Value  []byte // of a write
@@ -168,6 +169,10 @@
 	// it is not counted, and Over is not told of it.
 	Arrived(now, portion float64, q *Request) (s decide.Standing, again float64)
 	Over(now float64, q *Request) // has its final answer
+	// Owes books the bytes of an answer that a tenant's client has not taken yet, and says to whom they are booked; Paid gives them
+	// back. They may be called from any goroutine.
+	Owes(tenant string, bytes int) (party string)
+	Paid(party string, bytes int)
 }
 
 // server is a listed server as the engine knows it.
@@ -421,9 +426,32 @@
 	}
 }
 
-// Room takes the bytes that a request's value needs, and tells whether there are any. It may be called from any
-// goroutine.
-func (e *Engine) Room(n int) bool { return !e.Queued.Full() && e.Held.Take(n) }
+// Room takes the bytes that a request's value needs, and tells whether there are any. Where tenants are counted, who may have more answers
+// that wait is said by that: others are refused only at twice the bound. It may be called from any goroutine.
+func (e *Engine) Room(n int) bool {
+	if full := e.Queued.Full(); full && (e.tenants == nil || e.Queued.Used() >= 2*e.Queued.Limit()) {
+		return false
+	}
+	return e.Held.Take(n)
+}
+
+// Owe books the bytes of an answer that its client has not taken yet, and says to whom they are booked; Paid gives them back. They may be
+// called from any goroutine.
+func (e *Engine) Owe(tenant string, bytes int) (party string) {
+	e.Queued.Add(bytes)
+	if e.tenants == nil || tenant == "" {
+		return ""
+	}
+	return e.tenants.Owes(tenant, bytes)
+}
+
+// Paid is Owe's brother.
+func (e *Engine) Paid(party string, bytes int) {
+	e.Queued.Give(bytes)
+	if party != "" {
+		e.tenants.Paid(party, bytes)
+	}
+}
 
 // Arrive takes a request of a client that was read at the given time.
 func (e *Engine) Arrive(q *Request, read float64, t *Ticket) {
--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -11,10 +11,18 @@
 // slot is the place of a command's answer among those of its connection.
 type slot struct {
 	engine.Ticket
-	c     *clientConn
-	text  []byte // guarded by c.mu, as the others
-	lane  int
-	ready bool
+	c      *clientConn
+	text   []byte // guarded by c.mu, as the others
+	lane   int
+	ready  bool
+	tenant string // who asks, "" = nobody that is known,
+	party  string // and who the answer is booked to
+}
+
+// debt is what is booked to a party for an answer that its client has not taken yet.
+type debt struct {
+	party string
+	bytes int
 }
 
 // push makes a place for the answer to a command that has come.
@@ -30,14 +38,15 @@
 // together.
 func (sl *slot) answer(text []byte, engines bool) {
 	c := sl.c
-	c.s.e.Queued.Add(len(text))
+	party := c.s.e.Owe(sl.tenant, len(text))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	sl.party = party
 	if sl.lane > 0 {
 		defer c.changed.Broadcast()
 	}
 	if sl.text, sl.ready = text, true; c.broken {
-		c.s.e.Queued.Give(len(text))
+		c.s.e.Paid(party, len(text))
 		return
 	}
 	switch {
@@ -46,8 +55,8 @@
 		c.flushes = true
 		c.s.e.AtEnd(c.flushed)
 	default:
-		out, size := c.batch()
-		c.s.wg.Go(func() { c.write(out, size) })
+		out, _ := c.batch()
+		c.s.wg.Go(func() { c.write(out) })
 	}
 }
 
@@ -63,10 +72,9 @@
 	c.mu.Unlock()
 	for len(out) > 0 {
 		if !c.quick(&out, size) {
-			c.s.wg.Go(func() { c.write(out, size) })
+			c.s.wg.Go(func() { c.write(out) })
 			return
 		}
-		c.s.e.Queued.Give(size)
 		out, size = c.written(nil)
 	}
 }
@@ -123,19 +131,19 @@
 func (c *clientConn) batch() (out net.Buffers, size int) {
 	c.writing = 0
 	for len(c.queue) > 0 && c.queue[0].ready {
-		out, size = append(out, c.queue[0].text), size+len(c.queue[0].text)
+		sl := c.queue[0]
+		out, size, c.owed = append(out, sl.text), size+len(sl.text), append(c.owed, debt{sl.party, len(sl.text)})
 		c.queue, c.writing = c.queue[1:], c.writing+1
 	}
 	return out, size
 }
 
 // write writes answers until none is there.
-func (c *clientConn) write(out net.Buffers, size int) {
+func (c *clientConn) write(out net.Buffers) {
 	for len(out) > 0 {
 		c.SetWriteDeadline(time.Now().Add(answerTime))
 		_, err := out.WriteTo(c.Conn)
-		c.s.e.Queued.Give(size)
-		out, size = c.written(err)
+		out, _ = c.written(err)
 	}
 }
 
@@ -143,6 +151,10 @@
 func (c *clientConn) written(err error) (out net.Buffers, size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, d := range c.owed {
+		c.s.e.Paid(d.party, d.bytes)
+	}
+	c.owed = c.owed[:0]
 	c.changed.Broadcast()
 	if err != nil && !c.broken {
 		c.broken = true
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -78,6 +78,17 @@
 	return why != caller.None
 }
 
+// Tenant is whose the connection is, "" = nobody's that is known. It does not look whether the pass still holds.
+func (g *Guest) Tenant() string {
+	if g == nil {
+		return ""
+	}
+	if s := g.now.Load(); s.pass != nil {
+		return s.pass.Tenant.Name
+	}
+	return ""
+}
+
 // Token logs in by a token, and Secret by a key's. A login that fails leaves the connection as it was.
 func (g *Guest) Token(text string) caller.Reason {
 	return g.in(g.callers.Token(g.From, text))
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -22,6 +22,7 @@
 type clientConn struct {
 	net.Conn
 	s       *Clients
+	party   string  // among those that places are divided between; guarded by s.mu
 	session Session // set by meet, under mu
 	r       *bufio.Reader
 	counted atomic.Bool // among those that have asked
@@ -29,7 +30,8 @@
 	mu      sync.Mutex
 	changed sync.Cond // the queue got shorter
 	queue   []*slot   // whose answers are not being written yet
-	writing int       // answers that are
+	writing int       // answers that are,
+	owed    []debt    // and whose they are
 	broken  bool      // nothing can be written any more
 	asked   bool      // a command has come
 	reading bool      // another has begun
@@ -57,9 +59,9 @@
 	}
 	session := c.s.proto.Session(peer)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.session = session
-	return true
+	c.mu.Unlock()
+	return c.s.settle(c) // by its certificate, if it has one
 }
 
 // withdrawn says whether the connection's caller has lost what it rests on.
@@ -164,6 +166,12 @@
 			}
 			cmd = Command{Text: text, End: true}
 		}
+		if !c.s.settle(c) {
+			if cmd.Request != nil {
+				c.s.e.Held.Give(cmd.Request.Held)
+			}
+			cmd = Command{Text: c.session.Crowded(), End: true}
+		}
 		if cmd.Slow {
 			c.dawdle()
 		}
@@ -174,6 +182,7 @@
 		if cmd.Request == nil {
 			sl.answer(cmd.Text, false)
 		} else {
+			sl.tenant = cmd.Request.Tenant
 			sl.Answer = func(q *engine.Request, a engine.Answer) {
 				text := []byte(nil)
 				if a.Result != engine.Gone {
@@ -208,7 +217,7 @@
 	c.broken, c.queue = true, nil
 	for _, sl := range open {
 		if sl.ready {
-			c.s.e.Queued.Give(len(sl.text))
+			c.s.e.Paid(sl.party, len(sl.text))
 		}
 	}
 	c.mu.Unlock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -49,6 +49,10 @@
 	Malformed(err error) (text []byte, ok bool)
 	// Withdrawn says whether what the connection's caller rests on has been taken back. It may be called from any goroutine.
 	Withdrawn() bool
+	// Tenant is whose connection it is, "" = nobody's that is known. The reader alone calls it.
+	Tenant() string
+	// Crowded is the answer to who has come while that tenant has all the connections it may have.
+	Crowded() []byte
 }
 
 // Command is one command of a client.
@@ -71,15 +75,17 @@
 	readers  sync.Pool     // of *bufio.Reader: bad clients come and go by hundreds
 	draining atomic.Bool
 	asked    atomic.Int64 // connections that have asked
+	places   *places      // nil = they are divided between nobody
 	wg       sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
 }
 
-// New serves the clients that come to ln, at most limit at once, once Start is called.
-func New(e *engine.Engine, proto Protocol, ln net.Listener, limit int) *Clients {
-	return &Clients{e: e, proto: proto, ln: ln, room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
+// New serves the clients that come to ln, at most limit at once, once Start is called. Their places are divided between tenants, within
+// quota; nil = they are not.
+func New(e *engine.Engine, proto Protocol, ln net.Listener, limit int, quota *Quota) *Clients {
+	return &Clients{e: e, proto: proto, ln: ln, places: newPlaces(limit, quota), room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
 		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lineSize) }}}
 }
 
@@ -112,7 +118,7 @@
 			return
 		default:
 		}
-		s.evict(false)
+		s.evict(false, nil, nil)
 		select {
 		case s.room <- struct{}{}:
 			return
@@ -121,33 +127,12 @@
 	}
 }
 
-// evict ends the connection that has been idle for longest. With asked set, only those that have asked and since rested
-// for a moment count.
-func (s *Clients) evict(asked bool) {
-	var oldest *clientConn
-	var since time.Time
-	s.mu.Lock()
-	for c := range s.conns {
-		at, idle := c.idle()
-		if asked && (!c.counted.Load() || time.Since(at) < rest) {
-			continue
-		}
-		if idle && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
-		}
-	}
-	s.mu.Unlock()
-	if oldest != nil {
-		oldest.drop()
-	}
-}
-
 // crowd counts a connection that has asked for the first time. Where many ask once and keep their connection, its end by
 // time comes too late: they would hold all that clients may have, and the next requests had none.
 func (s *Clients) crowd(c *clientConn) {
 	c.counted.Store(true)
 	if s.asked.Add(1) > int64(cap(s.room)/2) {
-		s.evict(true)
+		s.evict(true, nil, nil)
 	}
 }
 
@@ -164,6 +149,10 @@
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	if s.places.came() {
+		who := strangers
+		s.evict(false, &who, c)
+	}
 	s.wg.Go(func() {
 		if c.meet() {
 			c.finish(c.read())
@@ -175,7 +164,9 @@
 		}
 		s.mu.Lock()
 		delete(s.conns, c)
+		party := c.party
 		s.mu.Unlock()
+		s.places.went(party)
 		r.Reset(nil)
 		s.readers.Put(r)
 		<-s.room
--- a/internal/front/meta/callers.go
+++ b/internal/front/meta/callers.go
@@ -55,9 +55,15 @@
 	}
 	cmd.Key, cmd.ID = key, pass.Space.ID(id, meta.MaxID)
 	cmd.Restate(pass.Tenant.Name, idem)
-	return s.request(in, e, cmd, func(q *engine.Request, a engine.Answer) []byte { return renderAs(id, q, a) })
+	return s.request(in, e, cmd, pass.Tenant.Generation, func(q *engine.Request, a engine.Answer) []byte { return renderAs(id, q, a) })
 }
 
+// Tenant is front.Session's.
+func (s session) Tenant() string { return s.guest.Tenant() }
+
+// Crowded is front.Session's.
+func (session) Crowded() []byte { return meta.NotTaken(caller.Connections.String(), 0) }
+
 // caller is who makes a request: whom its own token stands for, or the connection's caller.
 func (s session) caller(cmd *meta.Command) (*caller.Pass, caller.Reason) {
 	if cmd.Auth != "" {
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -61,7 +61,7 @@
 		if s.guest != nil {
 			return s.known(in, e, cmd)
 		}
-		return s.request(in, e, cmd, render)
+		return s.request(in, e, cmd, 0, render)
 	case "auth":
 		if s.guest != nil {
 			return s.login(cmd.Words), nil
@@ -80,8 +80,8 @@
 // renderer gives the text of a request's final answer.
 type renderer func(*engine.Request, engine.Answer) []byte
 
-// request reads the rest of a request, and checks it against what this deployment takes.
-func (s session) request(in *bufio.Reader, e *engine.Engine, cmd meta.Command, render renderer) (front.Command, error) {
+// request reads the rest of a request, and checks it against what this deployment takes. generation is that of the caller's tenant.
+func (s session) request(in *bufio.Reader, e *engine.Engine, cmd meta.Command, generation uint32, render renderer) (front.Command, error) {
 	if err := s.check(e, &cmd); err != nil {
 		return front.Command{}, err
 	}
@@ -102,7 +102,7 @@
 	if s.p.Owners != nil {
 		owners = s.p.Owners(cmd.Key, cmd.Verb == "ms")
 	}
-	return front.Command{Render: render, Request: &engine.Request{Owners: owners, ID: cmd.ID, Class: cmd.Class, Tenant: cmd.Tenant, Key: cmd.Key, Facts: cmd.Facts,
+	return front.Command{Render: render, Request: &engine.Request{Owners: owners, ID: cmd.ID, Class: cmd.Class, Tenant: cmd.Tenant, Of: generation, Key: cmd.Key, Facts: cmd.Facts,
 		Value: cmd.Value, Held: cmd.Length, Wait: cmd.Wait, Hint: cmd.Hint, Size: cmd.Size, Retry: cmd.Retry, Write: cmd.Verb == "ms"}}, nil
 }
 
--- a/internal/front/resp/callers.go
+++ b/internal/front/resp/callers.go
@@ -17,6 +17,22 @@
 // beforeLogin are the commands that a connection may send before its caller is known.
 var beforeLogin = map[string]bool{"AUTH": true, "HELLO": true, "PING": true, "QUIT": true}
 
+// Tenant is front.Session's.
+func (s *session) Tenant() string {
+	switch {
+	case s.guest != nil:
+		return s.guest.Tenant()
+	case s.in && len(s.p.cfg.Logins) > 0:
+		return s.tenant
+	}
+	return ""
+}
+
+// Crowded is front.Session's, in the words that clients know.
+func (*session) Crowded() []byte {
+	return resp.AppendError(nil, "ERR max number of clients reached: "+caller.Connections.String())
+}
+
 // known logs the connection in, or leaves it as it was.
 func (s *session) known(user, password []byte) caller.Reason {
 	why := caller.None
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -240,13 +240,13 @@
 	case class.Effect == decide.Repeatable && !c.safe(args):
 		return text(resp.AppendError(nil, fmt.Sprintf("ERR class %s may run twice, and %s must not: name another class for it", class.Name, c.name)))
 	}
-	tenant := s.tenant
+	tenant, generation := s.tenant, uint32(0)
 	if pass != nil {
 		var refused []byte
 		if args, refused = s.own(pass, c, args, class.Name); refused != nil {
 			return text(refused)
 		}
-		keys, tenant = c.keys(args), pass.Tenant.Name
+		keys, tenant, generation = c.keys(args), pass.Tenant.Name, pass.Tenant.Generation
 	}
 	size := 0
 	for _, a := range args {
@@ -267,7 +267,7 @@
 		id = "resp k " + s.tenant + " " + f.key
 	}
 	proto := s.proto
-	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: id, Class: class.Name, Tenant: tenant,
+	return front.Command{Lane: slot + 1, Request: &engine.Request{ID: id, Class: class.Name, Tenant: tenant, Of: generation,
 		Key: string(keys[0]), Held: size, Wait: deadline, Write: c.write, Owners: s.p.cfg.Owners(slot, c.write), Words: clone(args, size)},
 		Render: func(q *engine.Request, a engine.Answer) []byte { return render(a, proto) }}
 }
--- a/internal/keybook/file.go
+++ b/internal/keybook/file.go
@@ -16,7 +16,6 @@
 
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/pure/caller"
-	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/tomlfile"
 )
 
@@ -29,7 +28,7 @@
 	Issued  time.Time // when it was known to be in force; zero = it does not say
 	Keys    []caller.Key
 	Tenants []caller.Tenant
-	Limits  map[string]tenant.Limits // of the tenants that have any
+	Terms   map[string]Terms // of the tenants that have any
 	Callers []caller.Principal
 }
 
@@ -58,14 +57,17 @@
 	Most   float64 `toml:"most_per_s,omitempty" json:"most_per_s,omitempty"`
 	Open   int     `toml:"open,omitempty" json:"open,omitempty"`
 	Bytes  int64   `toml:"bytes,omitempty" json:"bytes,omitempty"`
-}
+	Conns  int     `toml:"connections,omitempty" json:"connections,omitempty"`
 
-func (r limitRow) limits() tenant.Limits {
-	return tenant.Limits{Floor: r.Floor, Weight: r.Weight, Burst: r.Burst, Most: r.Most, Open: r.Open, Bytes: r.Bytes}
+	Pools   []string   `toml:"pools,omitempty" json:"pools,omitempty"`
+	Classes []classRow `toml:"limit,omitempty" json:"limit,omitempty"`
 }
 
-func limitsRow(l tenant.Limits) limitRow {
-	return limitRow{l.Floor, l.Weight, l.Burst, l.Most, l.Open, l.Bytes}
+// classRow are a tenant's limits on one class.
+type classRow struct {
+	Class string  `toml:"class" json:"class"`
+	Most  float64 `toml:"most_per_s,omitempty" json:"most_per_s,omitempty"`
+	Open  int     `toml:"open,omitempty" json:"open,omitempty"`
 }
 
 type callerRow struct {
@@ -107,8 +109,8 @@
 	}
 	b := &Book{Version: doc.Version, Issued: doc.Issued}
 	for i, t := range doc.Tenants {
-		l := t.limits()
-		if err := l.Check(); err != nil {
+		terms := t.terms()
+		if err := terms.Check(); err != nil {
 			faults = append(faults, d.Fault(fmt.Sprintf("tenant[%d]", i), "%v", err))
 		}
 		b.addTenant(t)
@@ -175,17 +177,17 @@
 // addTenant adds a row's tenant, with its limits.
 func (b *Book) addTenant(r tenantRow) {
 	b.Tenants = append(b.Tenants, caller.Tenant{Name: r.Name, Generation: r.Generation, Suspended: r.Suspended})
-	if r.limitRow != (limitRow{}) {
-		if b.Limits == nil {
-			b.Limits = map[string]tenant.Limits{}
+	if terms := r.terms(); terms.some() {
+		if b.Terms == nil {
+			b.Terms = map[string]Terms{}
 		}
-		b.Limits[r.Name] = r.limits()
+		b.Terms[r.Name] = terms
 	}
 }
 
 // tenantRow is a tenant's row.
 func (b *Book) tenantRow(t caller.Tenant) tenantRow {
-	return tenantRow{t.Name, t.Generation, t.Suspended, limitsRow(b.Limits[t.Name])}
+	return tenantRow{t.Name, t.Generation, t.Suspended, b.Terms[t.Name].row()}
 }
 
 func (c callerRow) principal() (caller.Principal, error) {
--- a/internal/keybook/keybook_test.go
+++ b/internal/keybook/keybook_test.go
@@ -134,7 +134,7 @@
 		life("old", func(l *caller.Life) { l.Revoked = ms() }),
 		func() error { _, err := k.DeleteTenant(0, "t"); return err },
 		func() error {
-			_, _, err := k.PutTenant(Tenant{Name: "u", Limits: tenant.Limits{Floor: 5}}, 0)
+			_, _, err := k.PutTenant(Tenant{Name: "u", Terms: Terms{Limits: tenant.Limits{Floor: 5}}}, 0)
 			return err
 		},
 		func() error {
--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -14,7 +14,6 @@
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/pure/rights"
-	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/watch"
 )
 
@@ -25,6 +24,7 @@
 	Rights  string // path of the rights file
 	Bundle  string // path of the client certificates' bundle; "" = there is none
 	Classes []string
+	Pools   []string // that tenants may be said to come to
 	Policy  caller.Policy
 }
 
@@ -50,7 +50,7 @@
 	mu      sync.Mutex
 	inUse   [parts][]byte
 	waiting [parts][]byte // contents that could not be taken yet; nil = none
-	limits  map[string]tenant.Limits
+	terms   map[string]Terms
 	names   []caller.Tenant
 	version uint64 // of the book file in use
 	epoch   uint64 // of what was made of the files
@@ -90,11 +90,11 @@
 	s.cfg.Classes = names
 }
 
-// Tenants are those of the book in use with their limits, and what Version gives as epoch. They must not be changed.
-func (s *Source) Tenants() (epoch uint64, names []caller.Tenant, limits map[string]tenant.Limits) {
+// Tenants are those of the book in use with their terms, and what Version gives as epoch. They must not be changed.
+func (s *Source) Tenants() (epoch uint64, names []caller.Tenant, terms map[string]Terms) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.epoch, s.names, s.limits
+	return s.epoch, s.names, s.terms
 }
 
 func nowMS() float64 { return float64(time.Now().UnixMicro()) / 1000 }
@@ -221,7 +221,7 @@
 	if err := s.gate.Use(book); err != nil {
 		return fmt.Errorf("%s: %w", s.cfg.Book, err)
 	}
-	s.inUse, s.version, s.epoch, s.limits, s.names = next, b.Version, c.Version, b.Limits, b.Tenants
+	s.inUse, s.version, s.epoch, s.terms, s.names = next, b.Version, c.Version, b.Terms, b.Tenants
 	s.log.Info("callers: book in force", "name", s.cfg.Name, "version", b.Version, "epoch", s.epoch, "keys", len(b.Keys), "callers", len(b.Callers), "tenants", len(b.Tenants))
 	return nil
 }
@@ -246,6 +246,12 @@
 	if faults != nil {
 		return caller.Contents{}, faults
 	}
+	for _, t := range b.Tenants {
+		terms := b.Terms[t.Name]
+		if err := terms.CheckNames(cfg.Classes, cfg.Pools); err != nil {
+			return caller.Contents{}, fmt.Errorf("%s: tenant %s: %w", cfg.Book, t.Name, err)
+		}
+	}
 	c := caller.Contents{Policy: cfg.Policy, Keys: b.Keys, Tenants: b.Tenants, Principals: b.Callers, Roles: roles}
 	if !b.Issued.IsZero() {
 		c.Issued = float64(b.Issued.UnixMicro()) / 1000
--- a/internal/keybook/tenants.go
+++ b/internal/keybook/tenants.go
@@ -14,7 +14,7 @@
 	Name       string
 	Generation uint32
 	Suspended  bool
-	tenant.Limits
+	Terms
 	Version uint64
 }
 
@@ -58,7 +58,7 @@
 }
 
 func (r tenantRow) full(version uint64) Tenant {
-	return Tenant{r.Name, r.Generation, r.Suspended, r.limits(), version}
+	return Tenant{r.Name, r.Generation, r.Suspended, r.terms(), version}
 }
 
 // tenantAt gives a row and the version of its entry.
@@ -103,10 +103,10 @@
 	if err := tenant.CheckName(t.Name); err != nil {
 		return Tenant{}, 0, err
 	}
-	if err := t.Limits.Check(); err != nil {
+	if err := t.Terms.Check(); err != nil {
 		return Tenant{}, 0, err
 	}
-	next := tenantRow{t.Name, 0, t.Suspended, limitsRow(t.Limits)}
+	next := tenantRow{t.Name, 0, t.Suspended, t.Terms.row()}
 	book, err := k.tenantChange(t.Name, expected, func(s getter, was tenantRow) (change, error) {
 		c := change{what: "tenant set", name: t.Name, puts: map[string]any{}}
 		if next.Generation = was.Generation; expected == 0 {
--- a/internal/pure/caller/caller.go
+++ b/internal/pure/caller/caller.go
@@ -36,11 +36,12 @@
 	StaleKeys                   // the book is too old to be believed
 	Throttled                   // too many wrong ones came from there
 	OverRate                    // the right is there, its rate is used up
+	Connections                 // the tenant has all the connections that it may
 	reasons                     // their number
 )
 
 var names = [reasons]string{"none", "no_caller", "unknown_key", "key_retired", "key_revoked", "expired", "not_yet_valid", "wrong_audience", "wrong_issuer",
-	"bad_signature", "algorithm", "two_tenants", "no_tenant", "no_right", "too_long", "malformed", "stale_keys", "throttled", "over_rate"}
+	"bad_signature", "algorithm", "two_tenants", "no_tenant", "no_right", "too_long", "malformed", "stale_keys", "throttled", "over_rate", "too_many_connections"}
 
 // String is the reason's stable name.
 func (r Reason) String() string {
--- a/internal/pure/tenant/limits.go
+++ b/internal/pure/tenant/limits.go
@@ -52,6 +52,7 @@
 	Most    float64 // cost a second
 	Open    int     // requests at once
 	Bytes   int64   // bytes of requests and answers in hand
+	Conns   int     // connections; the fronts count them
 	Classes []ClassLimits
 }
 
@@ -71,7 +72,7 @@
 	for _, f := range []struct {
 		name  string
 		value float64
-	}{{"floor", l.Floor}, {"weight", l.Weight}, {"burst", l.Burst}, {"most", l.Most}, {"open", float64(l.Open)}, {"bytes", float64(l.Bytes)}} {
+	}{{"floor", l.Floor}, {"weight", l.Weight}, {"burst", l.Burst}, {"most", l.Most}, {"open", float64(l.Open)}, {"bytes", float64(l.Bytes)}, {"connections", float64(l.Conns)}} {
 		if !(f.value >= 0) || math.IsInf(f.value, 0) {
 			return fmt.Errorf("%s: %v: 0 or more is right", f.name, f.value)
 		}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	ln := listenLocal(t)
-	s := front.New(e, clients.Protocol{}, ln, places)
+	s := front.New(e, clients.Protocol{}, ln, places, nil)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	*config.Config
 	Servers *member.FileSource                       // the server file, opened; nil = discovery tells of servers
 	cluster *servers.Cluster                         // of a pool that speaks RESP
+	places  *places                                  // of its clients; nil = they are nobody's
 	Meta    net.Listener                             // of such a pool: for clients that speak the meta commands; nil = none come
 	TLS     net.Listener                             // for clients of the pool's own protocol whose links have TLS; nil = none come
 	Links   backend.TLS                              // of links to servers and origin; nil = they are plain
@@ -68,6 +69,7 @@
 	attempts := min(sockets*9/20, int(cfg.Limits.MemoryMB<<20/4/protocol.MaxValue))
 	proto := cfg.clients(ln.Addr().String())
 	shared := cfg.shared(n)
+	cfg.places = newPlaces(cfg)
 	var rs engines
 	var pools []*backend.Pool
 	var fronts []*front.Clients
@@ -158,7 +160,7 @@
 	for i, w := range ways {
 		n := places / (len(ways) - i) // equal parts, and the rest goes to the last
 		places -= n
-		out = append(out, front.New(e, w.proto, w.ln, max(1, n)))
+		out = append(out, front.New(e, w.proto, w.ln, max(1, n), s.places.shared()))
 	}
 	return out
 }
@@ -235,7 +237,7 @@
 	m.Routers, m.Me = m.Routers*s.n, m.Me*s.n+s.i // equal parts of all that routers share: cold servers, the origin, quotas
 	// A value is in memory up to three times, as it came and as it goes out.
 	memory := cfg.Limits.MemoryMB << 20 / int64(s.n)
-	return engine.New(engine.Options{Module: m, Store: s.store, Tenants: newLimits(cfg), IDs: s.ids, Seed: cfg.SeedNumber + uint64(s.i), Held: memory / 16,
+	return engine.New(engine.Options{Module: m, Store: s.store, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Seed: cfg.SeedNumber + uint64(s.i), Held: memory / 16,
 		Queued: memory / 8, Infers: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
 
@@ -338,6 +340,9 @@
 				end()
 				return
 			case next = <-updates:
+				if cfg.Tenants != nil {
+					cfg.places.use(next.Tenants)
+				}
 				rs.update(next)
 			}
 		}
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -15,31 +15,42 @@
 const portionEvery = 1000
 
 // limits is an engine.Tenants: what tenants use at one engine, which holds each to its part of the limits. Requests of tenants that
-// nobody has named share one record without a floor: they get what is left. The engine's goroutine alone uses it.
+// nobody has named share one record without a floor: they get what is left. The engine's goroutine alone uses it, but for hands.
 type limits struct {
-	book    *tenant.Book
-	handles map[string]tenant.Handle
-	others  tenant.Handle
-	classes map[string]int // their numbers
-	costs   []float64      // by number; a class without one counts 1
-	counted map[*engine.Request]booked
-	portion float64 // when it was set
-	off     bool    // nobody has limits
-	usage   *Usage  // nil = nobody asks
+	book     *tenant.Book
+	members  map[string]*resident
+	others   *resident
+	classes  map[string]int // their numbers
+	costs    []float64      // by number; a class without one counts 1
+	counted  map[*engine.Request]booked
+	portion  float64             // when it was set
+	off      bool                // nobody has limits
+	booked   bool                // the book of callers says which tenants there are,
+	departed map[string]departed // and these are no more
+	usage    *Usage              // nil = nobody asks
+	hands    *hands
+}
+
+// resident is a tenant as an engine knows it.
+type resident struct {
+	handle tenant.Handle
+	Lifetime
+	owed int64 // bytes of answers that the book has in its hand
 }
 
 // booked is what a request has been counted as.
 type booked struct {
-	of    tenant.Handle
+	*resident
 	class int
 }
 
-// newLimits is nil where no tenant has a limit.
-func newLimits(cfg Setup) engine.Tenants {
+// newLimits is nil where no tenant has a limit. answers is the bound on bytes of answers that no client has taken.
+func newLimits(cfg Setup, answers int64) engine.Tenants {
 	if cfg.Tenants == nil && cfg.Book == nil {
 		return nil
 	}
-	l := &limits{handles: map[string]tenant.Handle{}, counted: map[*engine.Request]booked{}, usage: cfg.Usage}
+	l := &limits{members: map[string]*resident{}, departed: map[string]departed{}, counted: map[*engine.Request]booked{}, usage: cfg.Usage, booked: cfg.Book != nil,
+		hands: newHands(answers)}
 	t := cfg.Tenants
 	if cfg.Book != nil {
 		_, t = cfg.Book()
@@ -48,41 +59,91 @@
 	return l
 }
 
-// configure takes limits; tenants that stay keep what they have in hand.
+// configure takes limits; tenants that stay keep what they have in hand. One of another generation is another tenant: nothing of the old
+// one's reaches it, and what that has in hand is counted to its end.
 func (l *limits) configure(now float64, cfg *config.Config, t *config.Tenants) {
-	if l.off = t == nil; l.off { // what is counted is counted on, and nobody is held to it
-		t = &config.Tenants{}
+	if t == nil {
+		t = &config.Tenants{Off: true}
 	}
+	l.off = t.Off // what is counted is counted on, and nobody is held to it
 	if l.book == nil {
 		l.book = tenant.NewBook(t.Capacity)
-		l.others, _ = l.book.Create(now, tenant.Limits{}) // no limit can be wrong
+		h, _ := l.book.Create(now, tenant.Limits{}) // no limit can be wrong
+		l.others = &resident{handle: h}
 	}
 	l.book.SetCapacity(now, t.Capacity)
 	l.classes, l.costs = map[string]int{}, t.Costs
 	for i, c := range cfg.Checked.Config.Classes {
 		l.classes[c.Name] = i
 	}
-	named := map[string]bool{}
+	named := make(map[string]*resident, len(t.Tenants))
 	for _, x := range t.Tenants {
-		named[x.Name] = true
-		if h, there := l.handles[x.Name]; there {
-			l.book.Set(now, h, x.Limits) //nolint:errcheck // the configuration has checked them
-		} else if h, err := l.book.Create(now, x.Limits); err == nil {
-			l.handles[x.Name] = h
+		m := l.members[x.Name]
+		switch {
+		case m != nil && m.Generation == x.Generation:
+			l.book.Set(now, m.handle, x.Limits) //nolint:errcheck // the configuration has checked them
+		default:
+			h, err := l.book.Create(now, x.Limits)
+			if err != nil {
+				continue // as above
+			}
+			m = &resident{handle: h, Lifetime: Lifetime{x.Name, x.Generation}}
 		}
-		l.book.Suspend(l.handles[x.Name], x.Suspended) //nolint:errcheck // it is there
+		l.book.Suspend(m.handle, x.Suspended) //nolint:errcheck // it is there
+		named[x.Name] = m
 	}
-	for name, h := range l.handles {
-		if !named[name] {
-			l.book.Delete(now, h) //nolint:errcheck // it is there
-			delete(l.handles, name)
+	for name, m := range l.members {
+		if named[name] != m {
+			l.book.Delete(now, m.handle) //nolint:errcheck // it is there
+			l.depart(now, m.Lifetime)
 		}
 	}
-	if !l.off {
+	l.members = named
+	l.hands.keep(named)
+	if len(named) > 0 {
 		l.usage.keep(named)
 	}
 }
 
+// departed is what is kept of a tenant that is no more: what its clients sent before they were turned away may still be on its way here.
+type departed struct {
+	generation uint32
+	at         float64
+}
+
+// departedFor is how long that is kept, in ms: no command waits for the engine's goroutine for as long.
+const departedFor = 10e3
+
+// depart keeps what has to be known of a tenant that is no more, and forgets those that went long ago.
+func (l *limits) depart(now float64, of Lifetime) {
+	for name, d := range l.departed {
+		if now-d.at > departedFor {
+			delete(l.departed, name)
+		}
+	}
+	l.departed[of.Name] = departed{of.Generation, now}
+}
+
+// of gives whose request it is. ok is false for one that was made by a tenant which is no more. One that this engine has not heard of yet
+// shares the record of others until it has.
+func (l *limits) of(q *engine.Request) (m *resident, ok bool) {
+	m = l.members[q.Tenant]
+	switch {
+	case q.Of == 0 || !l.booked:
+	case m == nil || q.Of > m.Generation:
+		if d, gone := l.departed[q.Tenant]; gone && q.Of <= d.generation {
+			return nil, false
+		}
+		return l.others, true
+	case q.Of < m.Generation:
+		return nil, false
+	}
+	if m == nil {
+		return l.others, true
+	}
+	return m, true
+}
+
 // standings are the module's.
 var standings = map[tenant.Standing]decide.Standing{tenant.Within: decide.Within, tenant.Borrowed: decide.Borrowed, tenant.Over: decide.Over,
 	tenant.Beyond: decide.Beyond, tenant.Suspended: decide.Beyond}
@@ -93,9 +154,9 @@
 		l.portion = now
 		l.book.Portion(now, portion)
 	}
-	h, named := l.handles[q.Tenant]
-	if !named {
-		h = l.others
+	m, ok := l.of(q)
+	if !ok {
+		return decide.Beyond, 0 // it came in while its tenant went
 	}
 	class, ok := l.classes[q.Class]
 	if !ok {
@@ -105,31 +166,54 @@
 	if class >= 0 && class < len(l.costs) {
 		cost = l.costs[class]
 	}
-	v, err := l.book.Arrive(now, h, class, cost, int64(q.Held))
-	if named {
-		l.usage.add(now, q.Tenant, v.Standing)
+	v := l.stands(now, m, q, class, cost)
+	taken := v.Standing < tenant.Beyond
+	if m != l.others {
+		l.usage.add(now, m.Lifetime, v.Standing, taken)
+	}
+	if !taken {
+		return decide.Beyond, v.Again
 	}
+	l.counted[q] = booked{m, class}
 	if l.off {
-		if v.Standing < tenant.Beyond {
-			l.counted[q] = booked{h, class}
-		}
 		return decide.Within, 0
 	}
-	if err != nil || v.Standing >= tenant.Beyond {
-		return decide.Beyond, v.Again
-	}
-	l.counted[q] = booked{h, class}
 	return standings[v.Standing], v.Again
 }
 
+// stands says where a request stands with its tenant's limits, and with what its answer will need beside those that wait to be taken.
+func (l *limits) stands(now float64, m *resident, q *engine.Request, class int, cost float64) tenant.Verdict {
+	use, _ := l.book.Use(m.handle) // one that is no more has none
+	fits, owed := l.hands.fits(q.Tenant, use.Open)
+	if !fits {
+		return tenant.Verdict{Standing: tenant.Beyond, Limit: tenant.Bytes, Again: handBack}
+	}
+	l.book.Grow(m.handle, owed-m.owed)
+	m.owed = owed
+	v, err := l.book.Arrive(now, m.handle, class, cost, int64(q.Held))
+	if err != nil {
+		return tenant.Verdict{Standing: tenant.Beyond}
+	}
+	return v
+}
+
 // Over is engine.Tenants'.
 func (l *limits) Over(_ float64, q *engine.Request) {
 	if b, ok := l.counted[q]; ok {
 		delete(l.counted, q)
-		l.book.Done(b.of, b.class, int64(q.Held))
+		l.book.Done(b.handle, b.class, int64(q.Held))
+		if b.resident != l.others {
+			l.usage.over(b.Lifetime)
+		}
 	}
 }
 
+// Owes is engine.Tenants'.
+func (l *limits) Owes(name string, bytes int) (party string) { return l.hands.owes(name, bytes) }
+
+// Paid is engine.Tenants'.
+func (l *limits) Paid(party string, bytes int) { l.hands.paid(party, bytes) }
+
 // bookEvery is how often the limits of the book are looked at: an admin waits for them to count.
 const bookEvery = 20 * time.Millisecond
 
@@ -151,6 +235,7 @@
 			if !waited(ctx, &all) {
 				return
 			}
+			cfg.places.use(t)
 			if cfg.InForce != nil {
 				cfg.InForce(epoch)
 			}
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -12,8 +12,8 @@
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/keybook"
 	"mossproxy.example/mossproxy/internal/pure/tenant"
+	"mossproxy.example/mossproxy/internal/router"
 	"mossproxy.example/mossproxy/internal/store"
-	"mossproxy.example/mossproxy/internal/store/fsys"
 )
 
 // administration is the API with the store that it changes.
@@ -31,7 +31,7 @@
 
 // openAdmin opens the store and listens. The book file is written anew where a crash left it behind the store.
 func (s *Service) openAdmin(cfg *config.Admin) (*administration, error) {
-	st, err := store.Open(fsys.Dir(cfg.State), store.Options{Owner: "cottonyoke serve"})
+	st, err := store.Open(s.disk(cfg.State), store.Options{Owner: "cottonyoke serve"})
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
@@ -40,7 +40,11 @@
 		st.Close()
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	a.api = admin.New(admin.Options{Keeper: a.keeper, Tokens: admin.NewTokens(st), Publish: a.publish, Usage: s.usage, Log: slog.Default()})
+	a.api = admin.New(admin.Options{Keeper: a.keeper, Tokens: admin.NewTokens(st), Publish: a.publish, Usage: s.usage,
+		InHand: func(name string, generation uint32) int {
+			return s.known.usage.InHand(router.Lifetime{Name: name, Generation: generation})
+		},
+		Classes: s.file.Classes(), Pools: s.file.PoolNames(), Log: slog.Default()})
 	version, err := a.keeper.Version()
 	if has, _ := s.known.source.Version(); err == nil && version > has {
 		err = a.export(version)
--- a/internal/service/admin_test.go
+++ b/internal/service/admin_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"mossproxy.example/mossproxy/internal/admin"
-	"mossproxy.example/mossproxy/internal/keybook"
 	"mossproxy.example/mossproxy/internal/standin/standintest"
 	"mossproxy.example/mossproxy/internal/store"
 	"mossproxy.example/mossproxy/internal/store/fsys"
@@ -31,8 +30,19 @@
 // startOffice starts one whose store has the book of startGated.
 func startOffice(t testing.TB) *office {
 	t.Helper()
-	g := startGated(t, 0)
-	tool := keybook.Tool{State: filepath.Join(g.dir, "state"), Out: io.Discard, Who: "test"}
+	return newOffice(t, func(g *gated) *Service { return g.start("r0") })
+}
+
+// newOffice is startOffice with a way to start the router.
+func newOffice(t testing.TB, start func(*gated) *Service) *office {
+	t.Helper()
+	return officeOf(t, startGated(t, 0), start)
+}
+
+// officeOf is an office over the book of g.
+func officeOf(t testing.TB, g *gated, start func(*gated) *Service) *office {
+	t.Helper()
+	tool := g.tool()
 	if err := tool.ImportBook(filepath.Join(g.dir, "callers.toml")); err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +58,7 @@
 	}
 	st.Close()
 	g.more = "[admin]\nlisten = \"127.0.0.1:0\"\nstate = \"state\"\n"
-	o.s = g.start("r0")
+	o.s = start(g)
 	g.routers = append(g.routers, o.s)
 	return o
 }
@@ -331,18 +341,18 @@
 		}
 		out.Reset()
 	}
-	do(k.Create(ctx, "new", admin.Limits{Floor: 5}), "new     1           active  5")
-	do(k.Change(ctx, "new", 0, func(s *admin.Spec) { s.Limits.Most = 9 }), "active  5        9")
-	do(k.Change(ctx, "new", 0, func(s *admin.Spec) { s.Suspended = true }), "suspended")
+	do(k.Create(ctx, "new", admin.Spec{Limits: admin.Limits{Floor: 5}}), "new     1           active  5")
+	do(k.Change(ctx, "new", 0, func(s *admin.Spec) error { s.Limits.Most = 9; return nil }), "active  5        9")
+	do(k.Change(ctx, "new", 0, func(s *admin.Spec) error { s.Suspended = true; return nil }), "suspended")
 	do(k.List(ctx), "c       1           active")
 	do(k.Usage(ctx, "new"), "MINUTE")
-	if err := k.Change(ctx, "new", 1, func(*admin.Spec) {}); err == nil || !strings.Contains(err.Error(), "another change came first: it is of version") {
+	if err := k.Change(ctx, "new", 1, func(*admin.Spec) error { return nil }); err == nil || !strings.Contains(err.Error(), "another change came first: it is of version") {
 		t.Errorf("an old version: %v", err)
 	}
-	if err := k.Create(ctx, "bad", admin.Limits{Floor: 5, Most: 1}); err == nil || !strings.Contains(err.Error(), "body.limits.most: 1: not below the floor of 5") {
+	if err := k.Create(ctx, "bad", admin.Spec{Limits: admin.Limits{Floor: 5, Most: 1}}); err == nil || !strings.Contains(err.Error(), "body.limits.most: 1: not below the floor of 5") {
 		t.Errorf("a wrong field: %v", err)
 	}
-	do(k.Delete(ctx, "new", 0), "")
+	do(k.Delete(ctx, "new", 0), "its last request is over")
 	if err := k.Show(ctx, "new"); err == nil || !strings.Contains(err.Error(), "no tenant") {
 		t.Error(err)
 	}
--- a/internal/service/callers.go
+++ b/internal/service/callers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync"
 
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/identity"
@@ -13,10 +14,11 @@
 
 // known is who may call: one gate for all pools, and the files that its book is made of.
 type known struct {
-	gate   *identity.Gate
-	source *keybook.Source
-	usage  *router.Usage
-	costs  []float64 // of the classes
+	gate    *identity.Gate
+	source  *keybook.Source
+	usage   *router.Usage
+	costs   []float64 // of the classes,
+	classes []string  // and their names, by number
 }
 
 // openKnown opens the book of callers; nil where the configuration asks nobody.
@@ -36,29 +38,39 @@
 	if n := f.Pools[0].Checked.Config.Routers; n > 0 {
 		o.Portion = 1 / float64(n)
 	}
-	k := &known{gate: identity.NewGate(o), usage: router.NewUsage(), costs: f.Costs}
+	k := &known{gate: identity.NewGate(o), usage: router.NewUsage(), costs: f.Costs, classes: f.Classes()}
 	var err error
 	k.source, err = keybook.Open(SourceConfig(f), k.gate, slog.Default())
 	return k, err
 }
 
-// limits are those of the book's tenants, as the router takes them; nil where none has any.
-func (k *known) limits() (epoch uint64, t *config.Tenants) {
-	epoch, names, limits := k.source.Tenants()
-	if len(limits) == 0 {
-		return epoch, nil
-	}
-	t = &config.Tenants{Costs: k.costs}
-	for _, n := range names {
-		t.Tenants = append(t.Tenants, config.TenantLimits{Name: n.Name, Suspended: n.Suspended, Limits: limits[n.Name]})
+// limits are those of the book's tenants at a pool, as the router takes them. Nothing is taken of one that may not come to it. It is asked
+// often, and made anew only when the book has changed.
+func (k *known) limits(pool string) func() (epoch uint64, t *config.Tenants) {
+	var mu sync.Mutex
+	var of uint64
+	var last *config.Tenants
+	return func() (uint64, *config.Tenants) {
+		epoch, names, terms := k.source.Tenants()
+		mu.Lock()
+		defer mu.Unlock()
+		if last != nil && of == epoch {
+			return epoch, last
+		}
+		t := &config.Tenants{Costs: k.costs, Off: !keybook.Limited(terms), Tenants: make([]config.TenantLimits, 0, len(names))}
+		for _, n := range names {
+			x := terms[n.Name]
+			t.Tenants = append(t.Tenants, config.TenantLimits{Name: n.Name, Generation: n.Generation, Suspended: n.Suspended || !x.Comes(pool), Limits: x.Of(k.classes)})
+		}
+		of, last = epoch, t
+		return epoch, t
 	}
-	return epoch, t
 }
 
 // SourceConfig is where the book of a configuration comes from.
 func SourceConfig(f *config.File) keybook.SourceConfig {
 	c := f.Callers
-	return keybook.SourceConfig{Name: f.Name, Book: c.Book, Rights: c.Rights, Bundle: c.Bundle, Classes: f.Classes(), Policy: c.Policy}
+	return keybook.SourceConfig{Name: f.Name, Book: c.Book, Rights: c.Rights, Bundle: c.Bundle, Classes: f.Classes(), Pools: f.PoolNames(), Policy: c.Policy}
 }
 
 // openLink opens the material of a TLS listener.
--- a/internal/service/callers_test.go
+++ b/internal/service/callers_test.go
@@ -20,6 +20,7 @@
 	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/standin"
 	"mossproxy.example/mossproxy/internal/standin/standintest"
+	"mossproxy.example/mossproxy/internal/store/fsys"
 )
 
 // gated is routers over one fleet and one cluster, whose pools ask who calls. Pool 0 speaks the meta commands, pool 1 RESP.
@@ -140,11 +141,14 @@
 }
 
 // start starts a router with an audience of its own.
-func (g *gated) start(audience string) *Service {
+func (g *gated) start(audience string) *Service { return g.startOn(audience, onDisk) }
+
+// startOn is start with the folders of stores on a disk of one's own.
+func (g *gated) startOn(audience string, disk func(string) fsys.FS) *Service {
 	g.t.Helper()
 	name := "c-" + audience + ".toml"
 	g.write(name, strings.NewReplacer("AUDIENCE", audience, "SEED", g.cluster.Nodes()[0].Addr()).Replace(strings.Replace(gatedConfig, "[callers]", g.more+"[callers]", 1)))
-	s, err := Open(filepath.Join(g.dir, name))
+	s, err := openOn(filepath.Join(g.dir, name), disk)
 	if err != nil {
 		g.t.Fatal(err)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,6 +21,7 @@
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/identity"
 	"mossproxy.example/mossproxy/internal/router"
+	"mossproxy.example/mossproxy/internal/store/fsys"
 	"mossproxy.example/mossproxy/internal/watch"
 )
 
@@ -31,6 +32,7 @@
 	pools []*pool
 	known *known // who may call; nil = nobody is asked
 	admin *administration
+	disk  func(dir string) fsys.FS // of the administration's store
 }
 
 // pool is one running pool.
@@ -44,12 +46,18 @@
 }
 
 // Open reads the configuration, opens the server files that it names and listens. An error leaves nothing open.
-func Open(path string) (*Service, error) {
+func Open(path string) (*Service, error) { return openOn(path, onDisk) }
+
+// onDisk is a folder of this machine.
+func onDisk(dir string) fsys.FS { return fsys.Dir(dir) }
+
+// openOn is Open with the folders of stores on a disk of one's own.
+func openOn(path string, disk func(dir string) fsys.FS) (*Service, error) {
 	file, err := config.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{path: path, file: file}
+	s := &Service{path: path, file: file, disk: disk}
 	seed(file)
 	if s.known, err = openKnown(file); err != nil {
 		return nil, err
@@ -90,7 +98,7 @@
 		p.setup.Gate = k.gate
 		p.setup.InForce, p.setup.Usage = p.inForce.Store, k.usage
 		if cfg.Tenants == nil {
-			p.setup.Book = k.limits
+			p.setup.Book = k.limits(cfg.Pool)
 		}
 	}
 	if err := p.listen(cfg); err != nil {
