Experiments: scenarios as scripts, runs over seeds, paired comparisons, a report

Cause: the model alone answers nothing; whoever weighs a change needs many seeds, the same faults for both sides, and to be told when nothing was shown.

The tool inside cottonyoke took the router's memory at rest from 14 to 20 MB, so it is a program of its own. Tests: scripts that loop, eat memory in nine ways or define no fleet; a set of runs cut off in mid-line goes on and ends as one that was not.

--- /dev/null
+++ b/cmd/cottonyoke-experiment/main.go
@@ -0,0 +1,149 @@
+// Command cottonyoke-experiment plays scenarios of the whole service in virtual time, and compares variants. It is a program of its own, as
+// charts and the language of scenarios would cost the router 6 MB of memory.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/term"
+
+	"mossproxy.example/mossproxy/internal/experiment"
+)
+
+// commands is the command line.
+type commands struct {
+	Run struct {
+		File    string `arg:"" help:"Scenario, a script."`
+		Out     string `default:"runs" help:"Folder of the runs; what is there already is not played again."`
+		Seeds   int    `default:"30" help:"Seeds of each variant."`
+		From    uint64 `default:"1" help:"First seed."`
+		Workers int    `default:"0" help:"Runs at once; 0 = as many as there are cores."`
+	} `cmd:"" help:"Play all variants of a scenario with many seeds, and write a report."`
+	Compare struct {
+		Folder string `arg:"" help:"Folder of runs."`
+		Than   string `default:"base" help:"The variant that the others are compared with."`
+	} `cmd:"" help:"Compare variants by pairs of the same seed."`
+	Check struct {
+		File []string `arg:"" help:"Scenarios."`
+	} `cmd:"" help:"Check scenarios without playing them."`
+}
+
+func main() {
+	if err := command(os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "cottonyoke-experiment:", err)
+		os.Exit(1)
+	}
+}
+
+// command carries out a command line.
+func command(args []string, out io.Writer) error {
+	var c commands
+	p, err := kong.New(&c, kong.Name("cottonyoke-experiment"), kong.Description("Plays scenarios of the whole service in virtual time, and compares variants."))
+	if err != nil {
+		return fmt.Errorf("command line: %w", err)
+	}
+	ctx, err := p.Parse(args)
+	if err != nil {
+		return fmt.Errorf("%w; see --help", err)
+	}
+	return c.run(strings.Fields(ctx.Command())[0], out)
+}
+
+// version is the revision that the program was made of: runs of different ones are not mixed.
+func version() string {
+	out := "unknown"
+	if i, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range i.Settings {
+			if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
+				out = strings.TrimPrefix(out+" "+s.Value, "unknown ")
+			}
+		}
+	}
+	return out
+}
+
+func (c *commands) run(command string, out io.Writer) error {
+	switch command {
+	case "run":
+		return c.play(out)
+	case "compare":
+		runs, _, err := experiment.ReadRuns(c.Compare.Folder)
+		if err != nil {
+			return err
+		}
+		return experiment.WriteComparison(out, runs, c.Compare.Than)
+	}
+	for _, f := range c.Check.File {
+		s, _, err := readScenario(f)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: good: %s, %d variant(s) beside base, %d fault(s), %d kind(s) drawn\n", f, s.Name, len(s.Variants), len(s.Config.Faults), len(s.Draws))
+	}
+	return nil
+}
+
+func readScenario(path string) (*experiment.Scenario, []byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := experiment.ParseScript(path, text)
+	return s, text, err
+}
+
+// play plays a scenario until it is done or a signal ends it, and writes what there is then.
+func (c *commands) play(out io.Writer) error {
+	s, text, err := readScenario(c.Run.File)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	workers := c.Run.Workers
+	if workers <= 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	o := experiment.Options{Folder: c.Run.Out, Script: text, Program: version(), From: c.Run.From, Seeds: c.Run.Seeds, Workers: workers}
+	if term.IsTerminal(int(os.Stderr.Fd())) {
+		o.Done = progress
+	}
+	runs, err := s.All(ctx, o)
+	if err != nil {
+		return fmt.Errorf("%d runs are kept in %s; the same command goes on: %w", len(runs), c.Run.Out, err)
+	}
+	if err := experiment.WriteComparison(out, runs, "base"); err != nil {
+		return err
+	}
+	for _, r := range runs {
+		if r.Violations > 0 {
+			fmt.Fprintf(out, "BROKEN: %s, seed %d: %s\n", r.Variant, r.Seed, r.First)
+		}
+	}
+	at, err := experiment.Report(c.Run.Out, s, runs)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%d runs; %s and %s\n", len(runs), filepath.Join(c.Run.Out, "runs.csv"), at)
+	return err
+}
+
+// progress draws a bar.
+func progress(done, all int) {
+	const width = 40
+	n := width * done / max(1, all)
+	fmt.Fprintf(os.Stderr, "\r[%s%s] %d of %d", strings.Repeat("=", n), strings.Repeat(" ", width-n), done, all)
+	if done == all {
+		fmt.Fprintln(os.Stderr)
+	}
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,171 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const small = "service(name = \"small\", seconds = 3, servers = 4, routers = 2)\nfault(\"kill\", at_s = 1, for_s = 1, who = 1)\nvariant(\"busy\", demand = 0.9)\n"
+
+// Scripts that loop for ever, eat memory, define a fleet of none, or ask for what there is not, are refused with the place; none of them
+// takes long or much.
+func TestScriptsThatMisbehave(t *testing.T) {
+	for name, x := range map[string]struct{ text, want string }{
+		"loops for ever":        {"service(name = \"x\")\ndef f(n):\n  s = 0\n  for i in range(9999):\n    for j in range(9999):\n      s = s + 1\n  return s\nf(1)\n", "too many steps"},
+		"calls itself":          {"def f(n):\n  return f(n)\nf(1)\n", "called recursively"},
+		"waits":                 {"while True:\n  pass\n", "while"},
+		"eats memory by adding": {"x = \"aaaaaaaa\"\nfor i in range(60):\n  x = x + x\n", "over 4096 bytes"},
+		"by repeating":          {"x = \"aaaaaaaa\" * 1000000000\n", "not of strings"},
+		"by repeating a list":   {"x = [0] * 1000000000\n", "not of lists"},
+		"by a long range":       {"x = list(range(1000000000))\n", "10000 items at most"},
+		"by a large number":     {"x = 2\nfor i in range(90):\n  x = x * x\n", "over 64 bits"},
+		"by a shift":            {"x = 1 << 100000000\n", "shift"},
+		"by joining":            {"x = \"a\".join([\"b\", \"c\"])\n", "scenarios can call"},
+		"by adding in place":    {"x = [1]\nx += x\n", "write it as"},
+		"reads a file":          {"load(\"x.star\", \"y\")\n", "no other file"},
+		"a fleet of none":       {"service(name = \"x\", servers = 0)\n", "Servers: 0: 1 to 5000"},
+		"half a server":         {"service(name = \"x\", servers = 1.5)\n", "a whole number"},
+		"no name":               {"service()\n", "name: 1 to 64"},
+		"no service":            {"x = 1\n", "no service(name"},
+		"no such setting":       {"service(name = \"x\", serverz = 3)\n", "no setting"},
+		"no such fault":         {"service(name = \"x\")\nfault(\"burn\", at_s = 1)\n", "no fault; kill, silence"},
+		"nobody is hit":         {"service(name = \"x\")\nfault(\"kill\", at_s = 1, who = 99)\n", "Faults[0].Who: 99"},
+		"the same name twice":   {"service(name = \"x\")\nvariant(\"a\")\nvariant(\"a\")\n", "a name of its own"},
+		"of a later version":    {"service(name = \"x\", version = 2)\n", "1 to 1 are known"},
+		"a fault of the syntax": {"service(name = \n", "x.star:2:1"},
+		"deep in calls":         {"def g():\n  fault(\"burn\", at_s = 1)\ndef f():\n  g()\nf()\n", "x.star:4:4: in f"},
+	} {
+		if _, err := ParseScript("x.star", []byte(x.text)); err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := ParseScript("x.star", make([]byte, maxScript+1)); err == nil {
+		t.Error("a long one")
+	}
+	if s, err := ParseScript("x.star", []byte("service(name = \"x\", version = 1, seconds = 2 * 30)\nfor i in range(3):\n  fault(\"hang\", at_s = 5 + 2 * i, for_s = 10 % 4, who = i)\n")); err != nil || s.Config.For != 60e3 || len(s.Config.Faults) != 3 || s.Config.Faults[2].At != 9000 || s.Config.Faults[0].For != 2000 {
+		t.Errorf("a good one: %v", err)
+	}
+}
+
+// The scenarios of the repository are good, and each plays without a broken rule.
+func TestLibrary(t *testing.T) {
+	files, err := filepath.Glob("../../scenarios/*.star")
+	if err != nil || len(files) < 5 {
+		t.Fatal(files, err)
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := ParseScript(filepath.Base(f), text)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		r, err := s.Play(Variant{Name: "base"}, 1)
+		if err != nil || r.Violations > 0 || r.Worth < 0.3 || r.Asked < 1000 {
+			t.Errorf("%s: %+v %v", f, r, err)
+		}
+	}
+}
+
+// A set of runs that is cut off, also in the middle of writing a line, goes on where it was: each run is there once, none by half, and all
+// are those of a set that was not cut off.
+func TestCutOffAndResumed(t *testing.T) {
+	s, err := ParseScript("small.star", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := func(folder string) Options {
+		return Options{Folder: folder, Script: []byte(small), Program: "test", From: 1, Seeds: 4, Workers: 2}
+	}
+	whole, err := s.All(t.Context(), options(t.TempDir()))
+	if err != nil || len(whole) != 8 {
+		t.Fatal(len(whole), err)
+	}
+	folder := t.TempDir()
+	ctx, stop := context.WithCancel(t.Context())
+	o := options(folder)
+	o.Done = func(done, _ int) {
+		if done == 3 {
+			stop()
+		}
+	}
+	if got, err := s.All(ctx, o); !errors.Is(err, context.Canceled) || len(got) < 3 || len(got) == 8 {
+		t.Fatalf("cut off: %d runs, %v", len(got), err)
+	}
+	at := filepath.Join(folder, runsName)
+	text, err := os.ReadFile(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.SplitAfter(string(text), "\n")
+	last := lines[len(lines)-2]
+	for _, cut := range []int{1, len(last) / 2, len(last) - 1} { // a line that was being written
+		if err := os.WriteFile(at, text[:len(text)-cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got, _, err := ReadRuns(folder); err != nil || len(got) != len(lines)-3 {
+			t.Errorf("cut by %d: %d runs of %d lines, %v", cut, len(got), len(lines)-2, err)
+		}
+	}
+	got, err := s.All(t.Context(), options(folder))
+	if err != nil || !slices.EqualFunc(got, whole, func(a, b Run) bool { return slices.Equal(a.row(), b.row()) }) {
+		t.Errorf("resumed: %v\n%v\n%v", err, got, whole)
+	}
+	kept, _, err := ReadRuns(folder)
+	if err != nil || len(kept) != 8 {
+		t.Errorf("%d kept, %v", len(kept), err)
+	}
+	o = options(folder)
+	o.Program = "another"
+	if _, err := s.All(t.Context(), o); err == nil || !strings.Contains(err.Error(), "another folder") {
+		t.Errorf("of another program: %v", err)
+	}
+	page, err := Report(folder, s, kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	html, err := os.ReadFile(page)
+	if err != nil || strings.Count(string(html), "<svg") != 2 || strings.Contains(string(html), "http://") && !strings.Contains(string(html), "www.w3.org") || !strings.Contains(string(html), "busy") {
+		t.Errorf("the page: %v, %d bytes", err, len(html))
+	}
+	if err := os.WriteFile(filepath.Join(folder, manifestName), []byte(`{"format": 9}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.All(t.Context(), options(folder)); err == nil || !strings.Contains(err.Error(), "format 9; up to 1") {
+		t.Errorf("a later format: %v", err)
+	}
+}
+
+// A difference is said to be there only where there is one.
+func TestCompare(t *testing.T) {
+	runs := func(shift, noise float64) (out []Run) {
+		for i := range 30 {
+			out = append(out, Run{Seed: uint64(i), Worth: 0.9 + shift + noise*float64(i*7%11-5)/50})
+		}
+		return out
+	}
+	worth := func(r Run) float64 { return r.Worth }
+	for name, x := range map[string]struct {
+		a, b []Run
+		want string
+	}{
+		"the same":        {runs(0, 1), runs(0, 1), "no difference shown"},
+		"noise":           {runs(0, 1), runs(0, -1), "no difference shown"},
+		"better":          {runs(0, 1), runs(0.02, 1), "better"},
+		"worse":           {runs(0, 1), runs(-0.02, 1), "worse"},
+		"few":             {runs(0, 1)[:3], runs(0.02, 1), "no difference shown: 3 pairs are too few"},
+		"no common seeds": {runs(0, 1), []Run{{Seed: 99}}, "no pairs of the same seed"},
+	} {
+		if d := Compare(x.a, x.b, worth); d.Conclusion != x.want || d.Pairs > 0 && (d.Low > d.Mean || d.High < d.Mean) {
+			t.Errorf("%s: %+v", name, d)
+		}
+	}
+}
