--- a/cmd/cottonyoke-experiment/main.go
+++ b/cmd/cottonyoke-experiment/main.go
@@ -33,6 +33,21 @@
 		Folder string `arg:"" help:"Folder of runs."`
 		Than   string `default:"base" help:"The variant that the others are compared with."`
 	} `cmd:"" help:"Compare variants by pairs of the same seed."`
+	Sweep struct {
+		File    string    `arg:"" help:"Scenario."`
+		Setting string    `arg:"" help:"Setting, as in scripts."`
+		Values  []float64 `arg:"" help:"Values."`
+		Out     string    `default:"sweep" help:"Folder of the runs."`
+		Seeds   int       `default:"30" help:"Seeds of each value."`
+	} `cmd:"" help:"Play a scenario with one setting over several values."`
+	Replay struct {
+		File    string `arg:"" help:"Scenario."`
+		Seed    uint64 `required:"" help:"Seed of the run."`
+		Variant string `default:"base" help:"Variant."`
+		Event   int    `default:"1" help:"Number of an event, as violations name it."`
+		Around  int    `default:"20" help:"Events ahead of it and behind."`
+		Request int    `default:"-1" help:"All that happened to one request instead."`
+	} `cmd:"" help:"Tell in words what happened in a run around an event."`
 	Search struct {
 		File     string `arg:"" help:"Scenario to begin with."`
 		Requests int    `default:"1000000" help:"Requests to play."`
@@ -84,6 +99,14 @@
 		return c.play(out)
 	case "search":
 		return c.search(out)
+	case "sweep":
+		return c.sweep(out)
+	case "replay":
+		s, _, err := readScenario(c.Replay.File)
+		if err != nil {
+			return err
+		}
+		return s.Replay(out, c.Replay.Variant, c.Replay.Seed, c.Replay.Event, c.Replay.Around, c.Replay.Request)
 	case "compare":
 		runs, _, err := experiment.ReadRuns(c.Compare.Folder)
 		if err != nil {
@@ -110,25 +133,42 @@
 	return s, text, err
 }
 
-// play plays a scenario until it is done or a signal ends it, and writes what there is then.
+// sweep plays a scenario with a setting over values. The manifest has the script with the values behind it.
+func (c *commands) sweep(out io.Writer) error {
+	s, text, err := readScenario(c.Sweep.File)
+	if err != nil {
+		return err
+	}
+	if err := s.Sweep(c.Sweep.Setting, c.Sweep.Values); err != nil {
+		return err
+	}
+	text = fmt.Appendf(text, "# sweep: %s over %v\n", c.Sweep.Setting, c.Sweep.Values)
+	return all(s, experiment.Options{Folder: c.Sweep.Out, Script: text, Program: version(), From: 1, Seeds: c.Sweep.Seeds, Workers: runtime.GOMAXPROCS(0)}, out)
+}
+
+// play plays a scenario.
 func (c *commands) play(out io.Writer) error {
 	s, text, err := readScenario(c.Run.File)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	workers := c.Run.Workers
 	if workers <= 0 {
 		workers = runtime.GOMAXPROCS(0)
 	}
-	o := experiment.Options{Folder: c.Run.Out, Script: text, Program: version(), From: c.Run.From, Seeds: c.Run.Seeds, Workers: workers}
+	return all(s, experiment.Options{Folder: c.Run.Out, Script: text, Program: version(), From: c.Run.From, Seeds: c.Run.Seeds, Workers: workers}, out)
+}
+
+// all plays all runs until they are done or a signal ends them, and writes what there is then.
+func all(s *experiment.Scenario, o experiment.Options, out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	if term.IsTerminal(int(os.Stderr.Fd())) {
 		o.Done = progress
 	}
 	runs, err := s.All(ctx, o)
 	if err != nil {
-		return fmt.Errorf("%d runs are kept in %s; the same command goes on: %w", len(runs), c.Run.Out, err)
+		return fmt.Errorf("%d runs are kept in %s; the same command goes on: %w", len(runs), o.Folder, err)
 	}
 	if err := experiment.WriteComparison(out, runs, "base"); err != nil {
 		return err
@@ -138,11 +178,11 @@
 			fmt.Fprintf(out, "BROKEN: %s, seed %d: %s\n", r.Variant, r.Seed, r.First)
 		}
 	}
-	at, err := experiment.Report(c.Run.Out, s, runs)
+	at, err := experiment.Report(o.Folder, s, runs)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, "%d runs; %s and %s\n", len(runs), filepath.Join(c.Run.Out, "runs.csv"), at)
+	_, err = fmt.Fprintf(out, "%d runs; %s and %s\n", len(runs), filepath.Join(o.Folder, "runs.csv"), at)
 	return err
 }
 
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -132,6 +132,37 @@
 	}
 }
 
+// A run is told in words around an event, or for one request from its first word to its answer; a setting is swept over values that it can
+// have, and refused by its name where it can't.
+func TestReplayAndSweep(t *testing.T) {
+	s, err := ParseScript("small.star", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var around, one strings.Builder
+	if err := s.Replay(&around, "base", 1, 50, 5, -1); err != nil || strings.Count(around.String(), "\n") != 11 || !strings.Contains(around.String(), "\n      50 ") {
+		t.Errorf("%v\n%s", err, &around)
+	}
+	if err := s.Replay(&one, "busy", 1, 0, 0, 7); err != nil || !strings.Contains(one.String(), "request 7 is asked for: ") || !strings.Contains(one.String(), "answers request 7: ") {
+		t.Errorf("%v\n%s", err, &one)
+	}
+	if err := s.Replay(&one, "base", 1, 1<<30, 5, -1); err == nil || !strings.Contains(err.Error(), "nothing of that") {
+		t.Error(err)
+	}
+	if err := s.Replay(&one, "none", 1, 1, 5, -1); err == nil || !strings.Contains(err.Error(), "no variant") {
+		t.Error(err)
+	}
+	for setting, want := range map[string]string{"serverz": "no setting", "servers": "Servers: 0"} {
+		if err := s.Sweep(setting, []float64{3, 0}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", setting, err)
+		}
+	}
+	s.Variants = nil
+	if err := s.Sweep("retries", []float64{0, 3}); err != nil || len(s.Variants) != 2 || s.Variants[0].Name != "retries = 0" {
+		t.Errorf("%v %v", err, s.Variants)
+	}
+}
+
 // A set of runs that is cut off, also in the middle of writing a line, goes on where it was: each run is there once, none by half, and all
 // are those of a set that was not cut off.
 func TestCutOffAndResumed(t *testing.T) {
--- a/internal/experiment/script.go
+++ b/internal/experiment/script.go
@@ -58,7 +58,7 @@
 
 // settings are the numbers that a scenario or a variant can set, by their names.
 var settings = map[string]func(*model.Config) any{
-	"seconds": nil, "servers": func(c *model.Config) any { return &c.Servers }, "routers": func(c *model.Config) any { return &c.Routers },
+	"seconds": nil, "news_ms": nil, "servers": func(c *model.Config) any { return &c.Servers }, "routers": func(c *model.Config) any { return &c.Routers },
 	"demand": func(c *model.Config) any { return &c.Load }, "swing": func(c *model.Config) any { return &c.Swing }, "wave_ms": func(c *model.Config) any { return &c.Wave },
 	"keys": func(c *model.Config) any { return &c.Keys }, "zipf": func(c *model.Config) any { return &c.Zipf }, "keys_per_core": func(c *model.Config) any { return &c.PerCore },
 	"same_ms": func(c *model.Config) any { return &c.Same }, "cross_ms": func(c *model.Config) any { return &c.Cross }, "jitter": func(c *model.Config) any { return &c.Jitter },
@@ -67,6 +67,7 @@
 	"fall_multiple": func(c *model.Config) any { return &c.FallMult }, "fall_ms": func(c *model.Config) any { return &c.FallFor },
 	"origin_cores": func(c *model.Config) any { return &c.OriginCores }, "origin_work_ms": func(c *model.Config) any { return &c.OriginWork },
 	"miss_work_ms": func(c *model.Config) any { return &c.MissWork }, "report_ms": func(c *model.Config) any { return &c.Report },
+	"clocks_apart_ms": func(c *model.Config) any { return &c.ClockApart }, "clock_drift": func(c *model.Config) any { return &c.ClockDrift },
 	"drain_grace_ms": func(c *model.Config) any { return &c.DrainGrace },
 }
 
@@ -76,6 +77,11 @@
 		c.For = v * 1000
 		return nil
 	}
+	if name == "news_ms" { // of servers and routers that come and go, to whoever is told
+		at := model.Range{From: v, To: v}
+		c.Notice, c.Silent, c.Front = at, at, at
+		return nil
+	}
 	at := settings[name]
 	if at == nil {
 		return fmt.Errorf("%q is no setting; %s are", name, strings.Join(names(), ", "))
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -72,6 +72,9 @@
 	OriginWork  float64 // mean ms of a fetch
 	OriginStop  Range   // ms for which it stops when it is pushed over
 
+	ClockApart float64 // ms by which a router's clock is ahead or behind at most,
+	ClockDrift float64 // and the part of a second by which its seconds are longer or shorter at most
+
 	Faults []Fault
 
 	broken breaker // a module that is broken on purpose, to see that it is found; nil = none
@@ -152,7 +155,10 @@
 		within("PerCore", float64(c.PerCore), 1, maxKeys), within("Same", c.Same, 1e-3, 1e4), within("Cross", c.Cross, 1e-3, 1e4),
 		within("Jitter", c.Jitter, 0, 2), within("Timeout", c.Timeout, 1, 1e6), within("Retries", float64(c.Retries), 0, 100),
 		within("TryShare", c.TryShare, 0.01, 1), within("OriginCores", float64(c.OriginCores), 1, 1e4), within("OriginWork", c.OriginWork, 1e-3, 1e6),
-		within("MissWork", c.MissWork, 1e-3, 1e6), within("Report", c.Report, 1, 1e6), within("Backoff", c.Backoff, 0, 1e6)}
+		within("MissWork", c.MissWork, 1e-3, 1e6), within("Report", c.Report, 1, 1e6), within("Backoff", c.Backoff, 0, 1e6), within("ClockApart", c.ClockApart, 0, epoch/2), within("ClockDrift", c.ClockDrift, 0, 0.1)}
+	for name, r := range map[string]Range{"Notice": c.Notice, "Silent": c.Silent, "Front": c.Front, "OriginStop": c.OriginStop} {
+		errs = append(errs, within(name+".From", r.From, 0, 1e7), within(name+".To", r.To, r.From, 1e7))
+	}
 	for i, k := range c.Classes {
 		errs = append(errs, within(fmt.Sprintf("Classes[%d].Share", i), k.Share, 0, 1), within(fmt.Sprintf("Classes[%d].Work", i), k.Work, 1e-3, 1e6))
 	}
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -60,8 +60,11 @@
 
 // The module keeps the rules through days with faults of each kind, and serves what it can.
 func TestRulesOverHardDays(t *testing.T) {
-	for seed := range uint64(6) {
+	for seed := range uint64(8) {
 		c := hard(seed)
+		if seed >= 6 { // clocks of routers that run apart: a start that the list tells lies in the future of one and long ago for another
+			c.ClockApart, c.ClockDrift = 4000, 0.002
+		}
 		check := NewChecker(&c)
 		out := play(t, c, check)
 		check.End(1e9)
--- a/internal/model/router.go
+++ b/internal/model/router.go
@@ -20,8 +20,13 @@
 	last  uint32
 	list  []decide.Entry     // the last whole list
 	told  map[uint32]float64 // when it was told that a server drains or is gone
+
+	ahead, pace float64 // of its clock, see time
 }
 
+// time is the time by the router's own clock, on which its module lives.
+func (r *router) time() float64 { return r.w.now + r.ahead + (r.w.now-epoch)*r.pace }
+
 // try is a client's try at a router, from its arrival until it is answered and its attempts are back.
 type try struct {
 	req    *request
@@ -64,7 +69,7 @@
 	if r.b, err = decide.New(r.w.cfg.module(r.no), r.w.rng.Uint64(), r); err != nil {
 		return err
 	}
-	r.b.Servers(r.w.now, decide.Remembered, r.heard(r.list))
+	r.b.Servers(r.time(), decide.Remembered, r.heard(r.list))
 	return nil
 }
 
@@ -94,7 +99,7 @@
 	k := q.req.class
 	w.note(Record{What: Taken, Request: q.req.no, Router: r.no, Server: -1, Until: q.until - epoch})
 	w.at(q.until+grace, event{kind: evLeft, q: q, life: r.life})
-	r.b.Request(w.now, decide.Request{ID: q.id, Class: k.Name, Tenant: q.req.tenant, Key: q.req.key, HasKey: true, Left: q.until - w.now,
+	r.b.Request(r.time(), decide.Request{ID: q.id, Class: k.Name, Tenant: q.req.tenant, Key: q.req.key, HasKey: true, Left: q.until - w.now,
 		Hint: q.req.hint, Write: k.Write})
 }
 
@@ -137,7 +142,7 @@
 		t.s.give(t)
 	}
 	r.forget(q)
-	r.b.Outcome(w.now, decide.Outcome{ID: q.id, Attempt: t.n, Server: t.s.id, Status: st, Latency: w.now - t.at, Final: q.over, Note: note, Load: t.load})
+	r.b.Outcome(r.time(), decide.Outcome{ID: q.id, Attempt: t.n, Server: t.s.id, Status: st, Latency: w.now - t.at, Final: q.over, Note: note, Load: t.load})
 }
 
 // leave ends a try that its client waits for no longer. That the module owes an answer by then breaks a rule.
@@ -146,7 +151,7 @@
 		return
 	}
 	q.over = true
-	r.b.Gone(r.w.now, q.id)
+	r.b.Gone(r.time(), q.id)
 	r.forget(q)
 }
 
@@ -166,7 +171,7 @@
 			r.list = append(r.list, e)
 		}
 	}
-	r.b.Servers(r.w.now, decide.Changes, r.heard(n.entries))
+	r.b.Servers(r.time(), decide.Changes, r.heard(n.entries))
 }
 
 // heard is what the module is told of a list.
@@ -246,7 +251,7 @@
 
 // Timer is decide.Host's.
 func (r *router) Timer(after float64, token uint64) {
-	r.w.after(after, event{kind: evTimer, a: int32(r.no), token: token, life: r.life})
+	r.w.after(after/(1+r.pace), event{kind: evTimer, a: int32(r.no), token: token, life: r.life})
 }
 
 // Close, Watch, Tell and Log are decide.Host's. Connections cost nothing in the model, lists are pushed, and there is nobody to tell.
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -92,7 +92,11 @@
 		w.servers, list = append(w.servers, s), append(list, e)
 	}
 	for i := range c.Routers {
-		w.routers = append(w.routers, &router{w: w, no: i, zone: i % len(c.Zones), known: true, list: append([]decide.Entry(nil), list...)})
+		r := &router{w: w, no: i, zone: i % len(c.Zones), known: true, list: append([]decide.Entry(nil), list...)}
+		if c.ClockApart > 0 || c.ClockDrift > 0 {
+			r.ahead, r.pace = c.ClockApart*(2*w.rng.Float64()-1), c.ClockDrift*(2*w.rng.Float64()-1)
+		}
+		w.routers = append(w.routers, r)
 	}
 }
 
@@ -209,7 +213,7 @@
 		w.come(e.q)
 	case evTimer:
 		if r := w.routers[e.a]; r.up && r.life == e.life {
-			r.b.Timer(w.now, e.token)
+			r.b.Timer(r.time(), e.token)
 		}
 	case evReach:
 		if !e.t.over {
@@ -245,7 +249,7 @@
 		w.probe(e)
 	case evProbed:
 		if r := w.routers[e.a]; r.up && r.life == e.life {
-			r.b.Probed(w.now, w.servers[e.b].id, decide.Status(e.token), w.servers[e.b].report)
+			r.b.Probed(r.time(), w.servers[e.b].id, decide.Status(e.token), w.servers[e.b].report)
 		}
 	case evNews:
 		if r := w.routers[e.a]; r.up {
