Scenarios of mended findings in a folder that git does not ignore

Cause: .gitignore names found/, so the three findings that a test plays were in no commit; the test failed on a clean checkout alone. Change: they lie in scenarios/mended.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -79,7 +79,7 @@
 
 // What a search has found plays without a broken rule by now, with the seed that it was found with.
 func TestFindingsStayMended(t *testing.T) {
-	files, err := filepath.Glob("../../scenarios/found/*.star")
+	files, err := filepath.Glob("../../scenarios/mended/*.star")
 	if err != nil || len(files) < 3 {
 		t.Fatal(files, err)
 	}
