Shared discovery asked for changes alone, spread; only full servers shorten connections

Discovery takes 188 ms for a whole list, works through calls in turn, and works on those that have waited too long as well; all asked at once at the start, again each second after a failure, and for the whole list where they held it. Lines at fault: Discovery.follow (whole list first, version 0 taken for none), Balancer.Servers (Refused, Remembered).

Change: where discovery is shared, changes since the known version are asked for, also after a failure and from the list that the configuration has; first calls are spread over a large tier, pauses grow with it and double, both bounded by the time after which news count as told; a token asked for during a call is dropped with it. Connections are held shorter where a server that refused answers again without a new start: only a full one does.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,9 @@
 	tick         = 100   // ms between two rounds of housekeeping,
 	solveEvery   = 1000  // between two solves,
 	solveSoon    = 250   // and where something calls for one: lists come in bursts
-	watchAgain   = 5000  // before the list is asked for again without an answer
+	watchAgain   = 15000 // before the list is asked for again without an answer
+	askSpread    = 1000  // over which ten routers of a large tier that starts ask for the list
+	askDoubles   = 2     // doublings of the pause between calls that fail, at most
 	probeEvery   = 700   // between two probes of a server: reports live for about a second
 	probeShare   = 0.15  // probes that a request pays for,
 	maxProbes    = 4     // and that are saved up
@@ -113,16 +115,22 @@
 func (b *Balancer) Servers(now float64, kind ListKind, entries []Entry) {
 	b.begin(now)
 	if kind == Refused {
-		b.watchAt = now + 500 + 1000*b.rng.Float64() // spread, or all routers ask at once again
+		// Spread, or all routers ask at once again. One service works through the calls of all in turn, also
+		// those that have waited too long: hundreds that come back each second get nothing, for good.
+		pause := (500 + 1000*b.rng.Float64()) * b.crowd() * math.Exp2(float64(min(b.refusals, askDoubles)))
+		b.watchAt = now + b.untold(3, pause)
+		b.refusals++
 		return
 	}
+	b.refusals = 0
 	if b.watchAt = math.Inf(1); b.cfg.AskList && kind == Remembered {
-		b.watchAt = now // the next housekeeping asks
+		// A small tier's next housekeeping asks.
+		b.watchAt = now + b.untold(0.8, askSpread*(b.crowd()-1))*b.rng.Float64()
 	}
 	for _, s := range b.apply(kind, entries) {
 		if s.Started > now-b.cfg.Cold { // a new process has a new record
 			s.fresh, s.budget, s.ejected, s.strikes, s.accept = s.Started, rate{0, now}, false, 0, 1
-			s.doubt, s.fails = 0, b.usual
+			s.doubt, s.fails, s.refused = 0, b.usual, false
 		}
 	}
 	b.buildTable()
@@ -141,8 +149,8 @@
 	switch {
 	case ok || st == Failed || st == QueueFull || st == Spoilt:
 		s.reply, s.strikes, s.passed = b.now, 0, max(s.passed, sent)
-	case st == ConnectError: // dead, or its table is full of idle connections: all routers hold fewer
-		b.keep = max(leastKeep, b.keep/2)
+	case st == ConnectError: // dead, or its table is full of idle connections: the next answer tells
+		s.refused = true
 	case st == Reset:
 	case s.reply < sent:
 		s.strikes++
@@ -166,7 +174,11 @@
 		}
 		return
 	}
-	b.keep = min(b.cfg.ConnIdle, keepGrows*b.keep)
+	if b.keep = min(b.cfg.ConnIdle, keepGrows*b.keep); s.refused {
+		// Its table was full, and all routers hold fewer. Those that a release had ended, told late or never,
+		// looked alike, and for the rest of a day a tier of eighty opened one for each second request.
+		s.refused, b.keep = false, max(leastKeep, b.keep/2)
+	}
 	s.accept, s.pause = s.accept+okGains*(1-s.accept), pauseFade*s.pause
 	if s.ejected { // the trial came back: in again at half its channels, and half way out
 		s.ejected, s.accept, s.doubt, b.dirty = false, trialBack, maxDoubt/2, true
--- /dev/null
+++ b/decide/lists_test.go
@@ -0,0 +1,97 @@
+package decide
+
+import (
+	"testing"
+)
+
+// asker is a queue of calls for a list, as one discovery for a whole tier has it: it takes calls in turn, works for each as
+// long, also for those that have waited for too long and get nothing, and turns away what comes to a queue of twice that wait.
+type asker struct {
+	free, work, wait float64
+}
+
+// call says when a call that comes at a time is answered, and whether with a list.
+func (a *asker) call(now float64) (at float64, ok bool) {
+	if a.free = max(a.free, now); a.free+a.work-now > 2*a.wait {
+		return now + 30, false
+	}
+	a.free += a.work
+	return min(a.free, now+a.wait), a.free <= now+a.wait
+}
+
+// Eighty routers that start together asked one discovery at once, and each that had failed a second later: its queue stayed longer
+// than anybody's patience, and for the rest of the day nobody got a list.
+func TestTierOfEightyGetsItsListsFromOneDiscovery(t *testing.T) {
+	const routers = 80
+	cfg := testConfig()
+	cfg.AskList, cfg.Routers, cfg.MustAsk = true, routers, 10000
+	type told struct {
+		at float64
+		ok bool
+	}
+	var bs [routers]*Balancer
+	var hs [routers]*fakeHost
+	var out [routers]*told
+	var got [routers]float64
+	for i := range bs {
+		hs[i] = &fakeHost{}
+		b, err := New(cfg, uint64(i), hs[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		bs[i] = b
+		b.Servers(1e5, Remembered, fleet(3))
+	}
+	d := &asker{work: 120, wait: 2000}
+	early, calls := 0, 0
+	for now := 1e5 + 100; now < 1e5+30000; now += 100 {
+		for i, b := range bs {
+			if o := out[i]; o != nil && now >= o.at {
+				if out[i] = nil; !o.ok {
+					b.Servers(now, Refused, nil)
+				} else if b.Servers(now, Changes, nil); got[i] == 0 {
+					got[i] = now
+				}
+			}
+			was := hs[i].watches
+			if b.Timer(now, tickToken); hs[i].watches > was {
+				at, ok := d.call(now)
+				out[i] = &told{at, ok}
+				if calls++; now <= 1e5+1000 {
+					early++
+				}
+			}
+		}
+	}
+	if early > routers/2 {
+		t.Errorf("%d of %d routers asked within the first second", early, routers)
+	}
+	for i, at := range got {
+		if at == 0 {
+			t.Errorf("router %d got no list in 30 s; %d calls by all", i, calls)
+		}
+	}
+	if calls > 3*routers {
+		t.Errorf("%d calls by %d routers", calls, routers)
+	}
+}
+
+// News count as told to who does not ask for too long: neither a large tier's spread nor its pauses go beyond that.
+func TestPausesBetweenCallsForAListAreBounded(t *testing.T) {
+	cfg := testConfig()
+	cfg.AskList, cfg.Routers, cfg.MustAsk = true, 1000, 10000
+	for seed := range uint64(50) {
+		b, err := New(cfg, seed, &fakeHost{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b.Servers(1e5, Remembered, fleet(3)); b.watchAt > 1e5+cfg.MustAsk*0.8 {
+			t.Fatalf("first call after %v ms", b.watchAt-1e5)
+		}
+		for range 6 {
+			if b.Servers(1e5, Refused, nil); b.watchAt <= 1e5+500 || b.watchAt > 1e5+3*cfg.MustAsk {
+				t.Fatalf("next call after %v ms", b.watchAt-1e5)
+			}
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -56,7 +56,8 @@
 	least      float64 // and that of what they reported at their least, lately
 	sized      bool    // whether sizes are told
 	portion    float64 // own part of all traffic, as far as reports tell
-	watchAt    float64 // when to ask for the list again
+	watchAt    float64 // when to ask for the list again,
+	refusals   int     // and the calls that have failed in a row
 }
 
 // perSecond reads a rate, corrected for a memory that has not filled yet.
@@ -71,6 +72,7 @@
 	out          int     // own attempts outstanding,
 	sentAt       float64 // when the last was sent,
 	held         bool    // and whether a connection may be open since
+	refused      bool    // a connection was, and nothing has been answered since
 	accept       float64 // share of attempts accepted, lately
 	doubt        float64 // how much its failures speak for a sickness of its own,
 	fails        float64 // and their share, over thirty outcomes
@@ -477,6 +479,17 @@
 	}
 }
 
+// crowd is how many times larger the tier is than ten routers, 1 at least.
+func (b *Balancer) crowd() float64 { return max(1, float64(b.cfg.Routers)/10) }
+
+// untold bounds a wait before the next call for the list by a part of the time after which news count as told unasked.
+func (b *Balancer) untold(part, wait float64) float64 {
+	if b.cfg.MustAsk > 0 {
+		return min(wait, part*b.cfg.MustAsk)
+	}
+	return wait
+}
+
 // seldom is near 1 where seconds pass between two own sends to a server, near 0 where there are many.
 func (b *Balancer) seldom() float64 {
 	return 1 - math.Exp(-float64(len(b.order))/(2*b.perSecond(&b.arrivals, keyTau)+0.01))
--- a/internal/member/discovery.go
+++ b/internal/member/discovery.go
@@ -20,6 +20,7 @@
 	asked  chan struct{} // of capacity 1
 	tell   func(l List)  // takes a list
 	broke  func()        // takes a failure
+	known  int64         // version of the list that is held, which may be 0; -1 = none, or one that a whole list has to replace
 }
 
 // pace is how long discovery is waited for. A watch that says nothing looks like a list that does not change, until
@@ -35,8 +36,10 @@
 	// The agent on the router's own machine answers at once and at no cost. What it has told, even into a connection
 	// that ends, must be acted on within 500 ms.
 	agentPace = pace{list: 250 * time.Millisecond, wait: 2 * time.Second, slack: 250 * time.Millisecond, again: 50 * time.Millisecond}
-	// One discovery for all works through calls in turn: they are few, wait long, and come spread when it is back.
-	sharedPace = pace{list: 2 * time.Second, wait: 10 * time.Second, slack: time.Second, again: 500 * time.Millisecond}
+	// One discovery for all works through calls in turn: they are few, wait long, and come spread when it is back. It gives calls
+	// up itself that have waited for too long. Who gave up sooner than it does would ask again at the end of its queue, and
+	// have it work for nobody.
+	sharedPace = pace{list: 6 * time.Second, wait: 10 * time.Second, slack: 4 * time.Second, again: 500 * time.Millisecond}
 )
 
 const (
@@ -46,15 +49,18 @@
 	maxHeaders  = 64 << 10
 )
 
-// NewDiscovery is the discovery at addr. With onAsk it calls only once Watch has asked it to, and tells broke of each
-// failure; tell takes each list, whole or in changes. Both are called from the goroutine of Run.
-func NewDiscovery(addr string, onAsk bool, tell func(List), broke func()) *Discovery {
+// NewDiscovery is the discovery at addr. With onAsk it calls only once Watch has asked it to, tells broke of each
+// failure, and asks for changes alone where the version of a list is known, not -1; tell takes each list, whole or in changes. Both are
+// called from the goroutine of Run.
+func NewDiscovery(addr string, onAsk bool, known int64, tell func(List), broke func()) *Discovery {
 	p := agentPace
 	if onAsk {
 		p = sharedPace
+	} else {
+		known = -1
 	}
 	return &Discovery{pace: p, url: "http://" + addr + "/v1/servers", onAsk: onAsk, asked: make(chan struct{}, 1),
-		tell: tell, broke: broke,
+		known: known, tell: tell, broke: broke,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaders,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}}
 }
@@ -68,7 +74,7 @@
 }
 
 // Run follows the list until ctx ends. After a failure it begins anew with the whole list: what was missed comes
-// with it.
+// with it. A discovery that all share works for each line that it tells: it is asked for what has changed since.
 func (d *Discovery) Run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	for ctx.Err() == nil {
@@ -86,6 +92,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		select { // asked while it was being followed: who asked hears of the failure, and decides anew
+		case <-d.asked:
+		default:
+		}
 		d.broke()
 		select {
 		case <-time.After(pause):
@@ -94,12 +104,27 @@
 	}
 }
 
-// follow gets the whole list and the changes after it, until a call fails, and tells whether any went well.
+// follow gets the list and the changes after it, until a call fails, and tells whether any went well.
 func (d *Discovery) follow(ctx context.Context) (heard bool) {
-	asked := time.Now()
-	l, err := d.call(ctx, d.url, d.pace.list)
-	for err == nil {
+	for {
+		asked := time.Now()
+		url, within := d.url, d.pace.list
+		if d.known >= 0 {
+			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, d.known, d.pace.wait.Milliseconds())
+			within = d.pace.wait + d.pace.slack
+		}
+		l, err := d.call(ctx, url, within)
+		if err != nil {
+			if !d.onAsk {
+				d.known = -1
+			}
+			return heard
+		}
 		heard = true
+		if !l.Full && l.Version < d.known { // it has begun anew, and its changes belong to another list
+			l.Version = -1
+		}
+		d.known = l.Version
 		d.tell(l)
 		if !l.Full && len(l.Servers) == 0 && time.Since(asked) < quickAnswer {
 			select { // an agent that does not wait would be asked without end; a watch bears a pause of 200 ms
@@ -107,11 +132,7 @@
 			case <-ctx.Done():
 			}
 		}
-		asked = time.Now()
-		url := fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, l.Version, d.pace.wait.Milliseconds())
-		l, err = d.call(ctx, url, d.pace.wait+d.pace.slack)
 	}
-	return heard
 }
 
 func (d *Discovery) call(ctx context.Context, url string, within time.Duration) (List, error) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -346,8 +346,8 @@
 				rs.update(next)
 			}
 		}
-		end() // the old watch
-		cfg = next
+		end()                                // the old watch
+		cfg, cfg.Known = next, member.List{} // its versions are the new one's own
 	}
 }
 
@@ -419,7 +419,11 @@
 		return s
 	}
 	ask := cfg.Checked.Config.AskList
-	d := member.NewDiscovery(cfg.Discovery, ask, s.tell, func() {
+	known := int64(-1)
+	if len(cfg.Known.Servers) > 0 {
+		known = cfg.Known.Version
+	}
+	d := member.NewDiscovery(cfg.Discovery, ask, known, s.tell, func() {
 		if ask {
 			heard(func(r *router) { r.list(decide.Refused, member.List{}) })
 		}
