Servers get keys by their registered sizes on the platform too

All servers had as many keys (state.go, claimsOf); the solver moves the 32 hottest keys of a router alone, and one that sees 20 requests a second hardly knows those.

Change: settings.Parse takes sizes that are "nominal" for weights, as pools of one's own do: claims in the hash table follow the size. The list of candidates and the solver are as they were.

--- a/decide/lists_test.go
+++ b/decide/lists_test.go
@@ -95,3 +95,25 @@
 		}
 	}
 }
+
+// Where registered sizes are told, each server is the first of keys in proportion to its size: with as many for all, the small ones of a
+// fleet of sixty were asked for three times what they can do, and cut off, while the large ones stood half idle.
+func TestFleetOfSixtySharesKeysBySize(t *testing.T) {
+	cfg := testConfig()
+	cfg.Weighted = true
+	es := fleet(60)
+	for i := range es {
+		es[i].Size = [...]float64{0.4, 0.8, 2}[i%3]
+	}
+	b, _ := start(t, cfg, es)
+	homes, keys := map[float64]int{}, 30000
+	for i := range keys {
+		homes[b.list(&flow{id: uint64(i)})[0].Size]++
+	}
+	for size, n := range homes {
+		want := size / 3.2 * float64(keys)
+		if got := float64(n); got < 0.8*want || got > 1.25*want {
+			t.Errorf("%d keys at the twenty servers of size %v, want about %.0f", n, size, want)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,7 +81,7 @@
 	c := decide.Config{
 		Routers: s.Balancers, Me: s.MyNumber, Zone: s.Zone, OverWorth: s.OverShareWorth,
 		ByWork: s.CountedBy == "work", Aside: s.FamilyInfo.Mode == "aside",
-		SizesVary: s.Weights == "live", ByProbe: s.LoadInfo.How == "probe",
+		SizesVary: s.Weights == "live", Weighted: s.Weights == "nominal", ByProbe: s.LoadInfo.How == "probe",
 		AskList: s.Discovery == "ask", MustAsk: s.Rules.MustAskIn,
 		Probes: s.Caps.MayProbe, Peers: s.Caps.Peers, Cancel: s.Caps.Cancel, Copies: s.Caps.SecondCopies,
 		RetryAfter: s.Caps.RetryAfter, MaxAfter: s.Caps.MaxRetryAfter,
