A zone of which nothing answers is taken for lost as a whole, and tried again as one

Each router needs three signs of silence from each server (observe, eject), and asks one every three seconds. Ruled out: the list, which tells of the loss after 6 s and more, and the bound of half a fleet on silent servers, which was met only at the end. Change: maxSilent silent servers of a zone in a row, with no answer from any of it since and answers from another, eject the rest of it (silence); the first answer has all that were lost with it tried at once (heardOf). A new process is in.

--- a/decide/api.go
+++ b/decide/api.go
@@ -297,7 +297,7 @@
 	b := &Balancer{cfg: cfg, host: host, rng: rand.New(rand.NewPCG(seed, 1)), began: -1,
 		spare: 10, fetches: min(8, 32/float64(cfg.Routers)), bear: 0.2, keep: cfg.ConnIdle,
 		portion: 1 / float64(cfg.Routers),
-		turn:    int(seed % 4096), watchAt: math.Inf(1), servers: map[uint32]*server{}, keys: map[uint64]*flow{},
+		turn:    int(seed % 4096), watchAt: math.Inf(1), servers: map[uint32]*server{}, zones: map[string]*zone{}, keys: map[uint64]*flow{},
 		reqs: map[uint32]*request{}}
 	b.setUp()
 	return b, nil
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,6 +47,7 @@
 	minPause    = 500  // first pause of an ejected server, ms,
 	maxPause    = 8    // which doubles up to so many times that
 	maxStrike   = 3    // signs of silence that eject
+	maxSilent   = 3    // silent servers of a zone in a row, and no answer from it, that eject the zone
 	maxDoubt    = 7.5  // doubt that ejects: two failures in a row where they are rare, six at one in eight
 	failKeeps   = 0.88 // share of its acceptance that a server keeps at a failure: over eight outcomes
 	spoiltKeeps = 1.07 // and is given back where the answer was spoilt on the way, from any alike
@@ -130,7 +131,7 @@
 	for _, s := range b.apply(kind, entries) {
 		if s.Started > now-b.cfg.Cold { // a new process has a new record
 			s.fresh, s.budget, s.ejected, s.strikes, s.accept = s.Started, rate{0, now}, false, 0, 1
-			s.doubt, s.fails, s.refused = 0, b.usual, false
+			s.doubt, s.fails, s.refused, s.lost = 0, b.usual, false, false
 		}
 	}
 	b.buildTable()
@@ -149,11 +150,14 @@
 	switch {
 	case ok || st == Failed || st == QueueFull || st == Spoilt:
 		s.reply, s.strikes, s.passed = b.now, 0, max(s.passed, sent)
+		b.heardOf(s)
 	case st == ConnectError: // dead, or its table is full of idle connections: the next answer tells
 		s.refused = true
+		b.silence(s, sent)
 	case st == Reset:
 	case s.reply < sent:
 		s.strikes++
+		b.silence(s, sent)
 	default:
 		return // it answers others: this waited in line or for a fetch, and moving keys would add fetches
 	}
@@ -201,6 +205,40 @@
 	s.ejected, b.dirty = true, b.dirty || !s.ejected
 }
 
+// silence books that nothing has come of an attempt at a server. Where each is asked every few seconds, half
+// a fleet of sixty was found dead one by one, by three requests of each router to each, in four seconds:
+// servers of a zone of which none answers, while others do, are taken for lost together.
+func (b *Balancer) silence(s *server, sent float64) {
+	z := b.zoneOf(s)
+	if z.reply >= sent || slices.Contains(z.silent, s) {
+		return
+	}
+	if z.silent = append(z.silent, s); len(z.silent) < maxSilent || !b.othersReply(z, sent) {
+		z.silent = z.silent[max(0, len(z.silent)-maxSilent):]
+		return
+	}
+	for _, o := range b.order {
+		if o.Zone == s.Zone && !o.ejected {
+			o.strikes, o.lost = maxStrike, true
+			b.eject(o, false)
+			o.overdue += silentFor
+		}
+	}
+}
+
+// heardOf books an answer. What was lost with the zone of a server that answers again is tried again too.
+func (b *Balancer) heardOf(s *server) {
+	z := b.zoneOf(s)
+	if z.reply, z.silent = b.now, z.silent[:0]; !s.lost {
+		return
+	}
+	for _, o := range b.order {
+		if o.Zone == s.Zone && o.lost {
+			o.lost, o.trial, o.overdue = false, b.now, b.now
+		}
+	}
+}
+
 // waitAt is the wait that a new request will find: by Little's law others hold their rate times the latency
 // seen, which fades, or one refusal would last for good. Own attempts out are known.
 func (b *Balancer) waitAt(s *server) float64 {
@@ -594,6 +632,7 @@
 		b.jam.see(b.now, b.jam.floor+r.class.Aim, jamTells) // known a second before the time-out
 		a.s.strikes++
 		b.eject(a.s, true)
+		b.silence(a.s, a.at)
 	}
 	if b.spare < 1 || r.out > 1 {
 		return
--- a/decide/state.go
+++ b/decide/state.go
@@ -26,6 +26,7 @@
 	servers    map[uint32]*server
 	order      []*server // cache servers on the list, by id
 	origin     *server   // never a candidate
+	zones      map[string]*zone
 	asking     int       // requests that are not closed and ask it by way of a server
 	stored     bool      // a key was, since requests that wait were looked at last
 	table      []*server // buckets of the memento-hash; nil = removed
@@ -80,6 +81,7 @@
 	reply        float64 // time of the last reply
 	passed       float64 // when the latest of those that it has answered was sent
 	ejected      bool
+	lost         bool    // was, with its whole zone
 	trial, pause float64 // ejected: when a trial is due, and the pause before it
 	overdue      float64 // and when it is, if no queue has brought one
 	probed       float64 // time of the last probe
@@ -95,6 +97,38 @@
 	hot          float64 // and what others are thought to send there of the keys solved singly
 }
 
+// maxZones bounds the records of zones.
+const maxZones = 64
+
+// zone is what a router knows of the servers of a zone together.
+type zone struct {
+	reply  float64   // time of the last reply of any of them
+	silent []*server // of which nothing has come since, each once, as many as make a zone lost
+}
+
+// zoneOf is the record of a server's zone.
+func (b *Balancer) zoneOf(s *server) *zone {
+	z := b.zones[s.Zone]
+	if z == nil {
+		if len(b.zones) >= maxZones { // names come and go with lists
+			clear(b.zones)
+		}
+		z = &zone{}
+		b.zones[s.Zone] = z
+	}
+	return z
+}
+
+// othersReply says whether a server of another zone has answered since.
+func (b *Balancer) othersReply(z *zone, since float64) bool {
+	for _, o := range b.zones {
+		if o != z && o.reply > since {
+			return true
+		}
+	}
+	return false
+}
+
 // group names those that drop repeats together with the server.
 func (s *server) group(scope string) string {
 	switch scope {
