A large tier's parts of a cold server's budget begin at random, and are used at once

Each of 80 routers has an eightieth of what a cold server can do, 0.14 requests a second of 36 at 30%; its budget began empty and fills for one request in some seven seconds, at all routers at the same time: nobody sends, and then all do (Servers, afford). Ruled out: the news of new servers, which was there within 0.5 s; the fleet's latency taken for a jam holds a part of it (see docs/ROADMAP.md).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -130,7 +130,8 @@
 	}
 	for _, s := range b.apply(kind, entries) {
 		if s.Started > now-b.cfg.Cold { // a new process has a new record
-			s.fresh, s.budget, s.ejected, s.strikes, s.accept = s.Started, rate{0, now}, false, 0, 1
+			s.fresh, s.ejected, s.strikes, s.accept = s.Started, false, 0, 1
+			s.budget = rate{b.firstPart(), now}
 			s.doubt, s.fails, s.refused, s.lost = 0, b.usual, false, false
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -516,6 +516,15 @@
 // crowd is how many times larger the tier is than ten routers, 1 at least.
 func (b *Balancer) crowd() float64 { return max(1, float64(b.cfg.Routers)/10) }
 
+// firstPart is what a router has of a cold server's budget at first. In a large tier parts take seconds to fill for one request, and
+// all fill at the same time: for as long nobody would use the server, and then all at once. So they begin spread.
+func (b *Balancer) firstPart() float64 {
+	if b.crowd() > 1 {
+		return b.rng.Float64()
+	}
+	return 0
+}
+
 // untold bounds a wait before the next call for the list by a part of the time after which news count as told unasked.
 func (b *Balancer) untold(part, wait float64) float64 {
 	if b.cfg.MustAsk > 0 {
