--- a/decide/zone_test.go
+++ b/decide/zone_test.go
@@ -31,14 +31,19 @@
 	return all
 }
 
+// losing is a Balancer in front of n servers, 300 ms after it sent to servers of zone a, which is silent, and of zone b, which has answered.
+func losing(t *testing.T, n int) (b *Balancer, dead []*server, sent float64) {
+	b, _ = start(t, testConfig(), twoZones(n))
+	sent = b.now
+	b.now += 300
+	b.observe(ofZone(b, "b")[0], OK, sent)
+	return b, ofZone(b, "a"), sent
+}
+
 // A zone of thirty is lost. A router that asks each server every few seconds takes four to find each of them silent by itself: three
 // silent servers in a row, of a zone that says nothing while the other answers, are enough for all.
 func TestZoneOfWhichNothingAnswersIsLostAsAWhole(t *testing.T) {
-	b, _ := start(t, testConfig(), twoZones(60))
-	dead, alive := ofZone(b, "a"), ofZone(b, "b")
-	sent := b.now
-	b.now += 300
-	b.observe(alive[0], OK, sent)
+	b, dead, sent := losing(t, 60)
 	for i := range maxSilent {
 		if got := out(b, "a"); got != 0 {
 			t.Fatalf("%d out after %d silent servers", got, i)
@@ -110,11 +115,7 @@
 
 // A new process in a lost zone has a new record, and the zone's end does not touch it.
 func TestServerThatStartsAnewInALostZoneIsIn(t *testing.T) {
-	b, _ := start(t, testConfig(), twoZones(12))
-	dead, alive := ofZone(b, "a"), ofZone(b, "b")
-	sent := b.now
-	b.now += 300
-	b.observe(alive[0], OK, sent)
+	b, dead, sent := losing(t, 12)
 	for i := range maxSilent {
 		b.observe(dead[i], ConnectError, sent+1)
 	}
