Operators' address: ready, figures, out of service and back

Engines count where they settle a final answer and publish a copy each 50 ms; attempts count when their last byte is out. A pure machine (internal/pure/drain) settles how a router sends its clients away, for the operators' call and for SIGTERM alike. decide tells how many servers it avoids.

--- a/cmd/cottonyoke/main.go
+++ b/cmd/cottonyoke/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -14,6 +13,7 @@
 
 	"mossproxy.example/mossproxy/internal/config"
 	"mossproxy.example/mossproxy/internal/router"
+	"mossproxy.example/mossproxy/internal/service"
 )
 
 func main() {
@@ -43,13 +43,9 @@
 	limit(1, cfg.Limits.MemoryMB) // the router has one core, which it may share
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	updates := make(chan router.Setup)
 	go reload(ctx, path, hup, updates)
-	return router.Serve(ctx, router.Setup{Config: cfg}, ln, updates)
+	return service.Platform(ctx, cfg, updates)
 }
 
 // limit keeps the process within its cores and memory.
--- a/decide/api.go
+++ b/decide/api.go
@@ -310,6 +310,16 @@
 	}
 }
 
+// Fleet counts the cache servers on the list, and those of them that requests are kept from now: they drain, or are taken for sick.
+func (b *Balancer) Fleet() (known, avoided int) {
+	for _, s := range b.order {
+		if s.ejected || s.State != Ready {
+			avoided++
+		}
+	}
+	return len(b.order), avoided
+}
+
 // Portion is the part of all traffic that this router is taken to have, 0 to 1.
 func (b *Balancer) Portion() float64 { return b.portion }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -220,10 +220,11 @@
 	c.fresh, c.busy, c.rest = false, true, nil
 	if c.write.n < len(wire) {
 		c.rest = &rest{out: make(chan struct{})}
-		go c.finish(wire[c.write.n:], c.rest)
+		go c.finish(wire[c.write.n:], c.rest, w.caller)
 		return started
 	}
 	c.written()
+	w.caller.Written()
 	return started
 }
 
@@ -278,13 +279,15 @@
 }
 
 // finish writes the rest of a command. Its attempt's end bounds the time.
-func (c *conn) finish(wire []byte, r *rest) {
+func (c *conn) finish(wire []byte, r *rest, caller engine.Caller) {
 	defer close(r.out)
 	defer c.written()
 	if _, err := c.Conn.Write(wire); err != nil {
 		r.err = err
 		c.Close() // no answer can be trusted now
+		return
 	}
+	caller.Written()
 }
 
 // serve reads from the connection until it ends. The pool's goroutine that has opened it becomes this.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -327,6 +327,9 @@
 // Begin says that the probe is wanted.
 func (prober) Begin() bool { return true }
 
+// Written needs not be told: probes are no attempts.
+func (prober) Written() {}
+
 // Done takes how the probe ended.
 func (p prober) Done(r engine.Reply) { p.came <- r }
 
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -20,6 +20,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"` // where operators call; "" = nowhere
 	Seed      string `json:"seed"`
 	Limits    struct {
 		MemoryMB int64 `json:"memory_mb"`
@@ -72,7 +73,13 @@
 			return nil, fmt.Errorf("%s: missing, and %s is not set", v.name, v.env)
 		}
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	if c.Operator == "" {
+		c.Operator = getenv("GW_OPERATOR")
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "operator": c.Operator} {
+		if addr == "" && name == "operator" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %q is no host:port", name, addr)
 		}
--- /dev/null
+++ b/internal/engine/counts.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync/atomic"
+)
+
+// publishEvery is how often an engine publishes its counts, in ms: figures may be half a second old.
+const publishEvery = 50
+
+// ClassCounts are the final answers to the requests of a class.
+type ClassCounts struct {
+	Class                   string
+	Served, Refused, Failed uint64
+}
+
+// Counts are what an engine has counted since its start, all at one moment. What is published is never changed.
+type Counts struct {
+	Classes        []ClassCounts // by name, also those that nobody has asked for
+	Tries          uint64        // attempts that were written whole to cache servers
+	Open           int           // requests that are taken and not answered
+	Known, Avoided int           // cache servers on the list, and those of them that requests are kept from
+}
+
+// Add adds the counts of another engine.
+func (c *Counts) Add(o Counts) {
+	c.Tries, c.Open = c.Tries+o.Tries, c.Open+o.Open
+	c.Known, c.Avoided = c.Known+o.Known, c.Avoided+o.Avoided
+	for _, k := range o.Classes {
+		i, there := slices.BinarySearchFunc(c.Classes, k, byClass)
+		if !there {
+			c.Classes = slices.Insert(c.Classes, i, ClassCounts{Class: k.Class})
+		}
+		at := &c.Classes[i]
+		at.Served, at.Refused, at.Failed = at.Served+k.Served, at.Refused+k.Refused, at.Failed+k.Failed
+	}
+}
+
+func byClass(a, b ClassCounts) int { return strings.Compare(a.Class, b.Class) }
+
+// counter counts for one engine. All but tries is its goroutine's.
+type counter struct {
+	classes   map[string]*ClassCounts // as many as configurations have named
+	tries     atomic.Uint64
+	published atomic.Pointer[Counts]
+	due       timer
+}
+
+// name has classes counted, and shown before anybody asks for them.
+func (c *counter) name(class string) {
+	if c.classes[class] == nil {
+		c.classes[class] = &ClassCounts{Class: class}
+	}
+}
+
+// settled counts a final answer. What the router asks for itself, and what ended after its client had left, is not counted.
+func (e *Engine) settled(q *Request, got Result) {
+	if e.counter == nil || q.Stores {
+		return
+	}
+	k := e.counter.classes[q.Class]
+	if k == nil { // of a configuration that is gone: the request came before
+		return
+	}
+	switch got {
+	case Served:
+		k.Served++
+	case Refused:
+		k.Refused++
+	case Failed:
+		k.Failed++
+	}
+}
+
+// Turned counts a request that was refused where it came, for want of room. It may be called from any goroutine.
+func (e *Engine) Turned(class string) {
+	if e.counter != nil {
+		e.Post(func() { e.settled(&Request{Class: class}, Refused) })
+	}
+}
+
+// publish makes the counts of this moment what Counts gives.
+func (e *Engine) publish() {
+	c := e.counter
+	out := &Counts{Tries: c.tries.Load(), Open: len(e.open)}
+	out.Known, out.Avoided = e.b.Fleet()
+	for _, name := range slices.Sorted(maps.Keys(c.classes)) {
+		out.Classes = append(out.Classes, *c.classes[name])
+	}
+	c.published.Store(out)
+	e.set(&c.due, publishEvery)
+}
+
+// Counts are the engine's latest, none where it does not count. It may be called from any goroutine, and waits for nothing.
+func (e *Engine) Counts() Counts {
+	if e.counter == nil {
+		return Counts{}
+	}
+	return *e.counter.published.Load()
+}
+
+// Written is Caller's.
+func (a *attempt) Written() {
+	if a.counts {
+		a.e.counter.tries.Add(1)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -50,6 +50,7 @@
 	tenants Tenants             // nil = nobody counts
 	ids     *IDs                // nil = this engine is alone
 	origin  string              // kind of the origin
+	counter *counter            // nil = nobody reads figures
 }
 
 // server is a listed server as the engine knows it.
@@ -87,6 +88,7 @@
 	t      *server // nil = it was not listed
 	at     float64
 	over   bool // has its outcome; what comes later is nobody's
+	counts bool // among the attempts at cache servers
 	stop   Stop
 	due    timer
 	phase  atomic.Int32
@@ -148,6 +150,7 @@
 	Store   Store   // nil = values that the origin gives are stored by others
 	Tenants Tenants // nil = tenants have no limits but the module's quotas
 	IDs     *IDs    // of requests that are open at any engine of the pool; nil = there is this one alone
+	Counts  bool    // somebody reads figures
 }
 
 // New is an engine that makes its attempts by a backend. An error names the setting that the module can't take.
@@ -157,10 +160,15 @@
 		maxTry: s.MaxAttempts, events: newEvents(), reqs: map[uint32]*request{},
 		targets: map[uint32]*server{}, open: map[string]*request{}, addrs: map[string][]uint32{}, infers: o.Infers,
 		store: o.Store, tenants: o.Tenants, ids: o.IDs, origin: s.OriginKind}
+	if o.Counts {
+		e.counter = &counter{classes: map[string]*ClassCounts{}, due: timer{kind: countsDue}}
+	}
 	e.setClasses(s.Classes)
 	e.Held.limit, e.Queued.limit = o.Held, o.Queued
 	var err error
-	e.b, err = decide.New(s, o.Seed, host{e})
+	if e.b, err = decide.New(s, o.Seed, host{e}); err == nil && o.Counts {
+		e.publish()
+	}
 	return e, err
 }
 
@@ -211,7 +219,9 @@
 func (e *Engine) setClasses(classes []decide.Class) {
 	m := make(map[string]decide.Class, len(classes))
 	for _, c := range classes {
-		m[c.Name] = c
+		if m[c.Name] = c; e.counter != nil {
+			e.counter.name(c.Name)
+		}
 	}
 	e.classes.Store(&m)
 }
@@ -378,6 +388,7 @@
 		return
 	}
 	r.over = true
+	e.settled(r.Request, answer.Result)
 	if e.store != nil {
 		e.store.Over(r.Request)
 	}
--- a/internal/engine/timers.go
+++ b/internal/engine/timers.go
@@ -24,6 +24,7 @@
 	moduleTimer timerKind = iota
 	attemptDue
 	requestDue
+	countsDue
 )
 
 // set has a timer go off after that many ms. It is in the heap until then, or until it is stopped.
@@ -44,6 +45,8 @@
 		e.b.Timer(e.now(), token)
 	case attemptDue:
 		e.timeOut(t.a)
+	case countsDue:
+		e.publish()
 	case requestDue: // should the Balancer owe an answer even then, the client still gets one in time
 		slog.Error("request: no answer by its deadline", "id", t.r.ID)
 		host{e}.Fail(t.r.id)
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -96,6 +96,7 @@
 // Caller is who an attempt is made for.
 type Caller interface {
 	Begin() bool // asked once, before the first byte, and does not block: false calls the attempt off
+	Written()    // told once the last byte is written; it does not block
 	Done(Reply)  // told once how the attempt ended, where Attempt has not said so; it may wait a moment
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -37,6 +37,7 @@
 	asked   bool      // a command has come
 	reading bool      // another has begun
 	closing bool      // ends as soon as nothing waits for its answer
+	closes  time.Time // since then
 	since   time.Time // idle since, while nothing is open
 	flushes bool      // its answers are written at the end of the engine's batch
 
@@ -99,7 +100,15 @@
 func (c *clientConn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing = true; !c.reading {
+	if c.closing {
+		return
+	}
+	c.closing, c.closes = true, time.Now()
+	switch first := c.since.Add(newcomer); {
+	case c.reading:
+	case !c.asked && c.closes.Before(first): // who has just come is heard
+		c.SetReadDeadline(first)
+	default:
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -136,7 +145,7 @@
 	case c.broken:
 		return false
 	case c.closing: // what has come already is answered
-		return c.r.Buffered() > 0
+		return c.r.Buffered() > 0 || time.Since(c.closes) < crossing && sock.Waiting(c.Conn)
 	case c.open() > 0:
 		c.SetReadDeadline(time.Time{})
 	default:
@@ -158,7 +167,7 @@
 			return c.unread(err)
 		}
 		c.begin(first)
-		cmd, err := c.session.Read(c.r, c.s.e, c.s.ready)
+		cmd, err := c.session.Read(c.r, c.s.e, c.s.Ready)
 		read := c.s.e.Now()
 		if err != nil {
 			text, ok := c.session.Malformed(err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,8 @@
 	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
 	lingerBytes  = 256 << 10              // of its input that are read meanwhile
 	slowTime     = 500 * time.Millisecond // before who floods is answered: it costs a place that gives way, and little else
+	newcomer     = 300 * time.Millisecond // a connection that comes while others are closed has for its first byte
+	crossing     = time.Second            // for which commands are read that have come on a connection as it is closed
 	slowStep     = 25 * time.Millisecond  // looks at whether the place is wanted meanwhile
 	askSoon      = 200 * time.Millisecond // a connection that has asked nothing after that
 	asksNothing  = time.Second            // counts as idle for that much longer
@@ -37,7 +39,7 @@
 type Protocol interface {
 	Session(Peer) Session
 	Idle() time.Duration // for the next command to begin
-	Drain()              // clients are to be sent elsewhere, where the protocol can
+	Drain(yes bool)      // whether clients are to be sent elsewhere, where the protocol can
 }
 
 // Session is the protocol on one connection. Its methods are called by the connection's reader alone, but for Render.
@@ -73,9 +75,10 @@
 	ln       net.Listener
 	room     chan struct{} // a place for each connection that may be open
 	readers  sync.Pool     // of *bufio.Reader: bad clients come and go by hundreds
-	draining atomic.Bool
-	asked    atomic.Int64 // connections that have asked
-	places   *places      // nil = they are divided between nobody
+	invites  atomic.Bool   // clients may be sent here
+	draining atomic.Bool   // a connection ends as soon as nothing is open on it
+	asked    atomic.Int64  // connections that have asked
+	places   *places       // nil = they are divided between nobody
 	wg       sync.WaitGroup
 
 	mu    sync.Mutex
@@ -85,8 +88,10 @@
 // New serves the clients that come to ln, at most limit at once, once Start is called. Their places are divided between tenants, within
 // quota; nil = they are not.
 func New(e *engine.Engine, proto Protocol, ln net.Listener, limit int, quota *Quota) *Clients {
-	return &Clients{e: e, proto: proto, ln: ln, places: newPlaces(limit, quota), room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
+	s := &Clients{e: e, proto: proto, ln: ln, places: newPlaces(limit, quota), room: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
 		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lineSize) }}}
+	s.invites.Store(true)
+	return s
 }
 
 // Start takes connections until the listener is closed. Drain waits for all that it starts.
@@ -175,8 +180,8 @@
 	}
 }
 
-// ready says whether clients may be sent here: a list is held and the router goes on.
-func (s *Clients) ready() bool { return s.e.Ready() && !s.draining.Load() }
+// Ready says whether clients may be sent here: a list is held and the router goes on.
+func (s *Clients) Ready() bool { return s.e.Ready() && s.invites.Load() }
 
 // Recheck ends the connections whose caller rests on what has been taken back, once what they have asked is answered.
 func (s *Clients) Recheck() {
@@ -193,17 +198,29 @@
 	}
 }
 
-// HandOn sends clients elsewhere from now on, where the protocol can; what they send all the same is served.
-func (s *Clients) HandOn() { s.proto.Drain() }
+// Invite says whether clients may be sent here, to who asks. Without stay they are sent elsewhere, where the protocol can; what they
+// send all the same is served.
+func (s *Clients) Invite(yes, stay bool) {
+	s.invites.Store(yes)
+	s.proto.Drain(!stay)
+}
 
-// Drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
-func (s *Clients) Drain(ctx context.Context) {
-	s.draining.Store(true)
+// Empty has every connection closed once it has nothing to answer, and those that still come behind their first answer; or no longer.
+// Those that are being closed stay so.
+func (s *Clients) Empty(yes bool) {
+	if s.draining.Swap(yes) == yes || !yes {
+		return
+	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.drain()
 	}
-	s.mu.Unlock()
+}
+
+// Drain has every connection closed once it has nothing to answer, and returns when all are, or ctx ends.
+func (s *Clients) Drain(ctx context.Context) {
+	s.Empty(true)
 	closed := make(chan struct{})
 	go func() {
 		s.wg.Wait()
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -32,7 +32,7 @@
 func (Protocol) Idle() time.Duration { return 3 * time.Second }
 
 // Drain changes nothing: clients come through a front that sends them elsewhere.
-func (Protocol) Drain() {}
+func (Protocol) Drain(bool) {}
 
 type session struct {
 	p     Protocol
@@ -96,6 +96,7 @@
 		}
 	}
 	if refuse { // many large writes at once must not cost the router its life
+		e.Turned(cmd.Class)
 		return front.Command{Text: meta.Refused(0)}, nil
 	}
 	var owners []uint32
--- a/internal/front/resp/peers.go
+++ b/internal/front/resp/peers.go
@@ -190,9 +190,15 @@
 }
 
 // Drain hands this router's slots on from now on, to the next router that serves.
-func (p *Protocol) Drain() {
-	p.draining.Store(true)
-	p.peers.change(func(t *tier.Table) bool { return t.Heard(p.cfg.Me, tier.Draining) })
+func (p *Protocol) Drain(yes bool) {
+	if p.draining.Swap(yes) == yes {
+		return
+	}
+	state := tier.Serving
+	if yes {
+		state = tier.Draining
+	}
+	p.peers.change(func(t *tier.Table) bool { return t.Heard(p.cfg.Me, state) })
 }
 
 // isState says whether a command is YOKE STATE.
--- a/internal/front/resp/peers_test.go
+++ b/internal/front/resp/peers_test.go
@@ -125,7 +125,7 @@
 	p := following(t, one, two)
 	own, taken, others := slotAt(p, 0), slotAt(p, 1), slotAt(p, 2)
 	standintest.Until(t, "one drains", func() bool { return p.elsewhere(taken, false) != fmt.Sprintf("MOVED %d %s", taken, one.addr) })
-	p.Drain()
+	p.Drain(true)
 	for _, s := range []int{own} {
 		if got, want := p.elsewhere(s, false), fmt.Sprintf("ASK %d %s", s, two.addr); got != want {
 			t.Errorf("%q, want %q", got, want)
@@ -153,7 +153,7 @@
 	if got, _ := read(t, s, e, "GET", "k"); got != "-NOAUTH Authentication required." {
 		t.Errorf("%q", got)
 	}
-	p.Drain()
+	p.Drain(true)
 	if got, _ := read(t, s, e, "YOKE", "STATE"); got != "+draining" {
 		t.Errorf("%q", got)
 	}
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -253,6 +253,7 @@
 		size += len(a)
 	}
 	if !e.Room(size) {
+		e.Turned(class.Name)
 		return text(refused(0))
 	}
 	deadline := class.Deadline
--- /dev/null
+++ b/internal/operator/figures.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	"bytes"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+
+	"mossproxy.example/mossproxy/internal/engine"
+)
+
+// prefix stands before the name of every figure.
+const prefix = "svc_"
+
+// textFormat is the media type of the figures.
+var textFormat = string(expfmt.NewFormat(expfmt.TypeTextPlain))
+
+// Figures are counts in Prometheus's text form.
+func Figures(c engine.Counts) []byte {
+	passed := family("passed", "Requests served, by class.", dto.MetricType_COUNTER)
+	dropped := family("dropped", "Requests refused, by class: trying again is harmless.", dto.MetricType_COUNTER)
+	failed := family("bad_gateway", "Requests failed, by class: no promise.", dto.MetricType_COUNTER)
+	for _, k := range c.Classes {
+		class := []*dto.LabelPair{{Name: new("category"), Value: new(k.Class)}}
+		for _, f := range []struct {
+			to *dto.MetricFamily
+			n  uint64
+		}{{passed, k.Served}, {dropped, k.Refused}, {failed, k.Failed}} {
+			f.to.Metric = append(f.to.Metric, &dto.Metric{Label: class, Counter: &dto.Counter{Value: new(float64(f.n))}})
+		}
+	}
+	tries := family("upstream_tries", "Attempts written whole to cache servers.", dto.MetricType_COUNTER)
+	tries.Metric = []*dto.Metric{{Counter: &dto.Counter{Value: new(float64(c.Tries))}}}
+	var out bytes.Buffer
+	for _, f := range []*dto.MetricFamily{passed, dropped, failed, tries,
+		gauge("in_progress", "Requests taken and not ended.", c.Open),
+		gauge("known_cache_servers", "Cache servers on the list.", c.Known),
+		gauge("skipped_cache_servers", "Listed cache servers that requests are kept from now.", c.Avoided),
+	} {
+		if len(f.Metric) > 0 { // the form has none without
+			expfmt.MetricFamilyToText(&out, f) //nolint:errcheck // neither the buffer nor families of this form fail
+		}
+	}
+	return out.Bytes()
+}
+
+func family(name, help string, kind dto.MetricType) *dto.MetricFamily {
+	return &dto.MetricFamily{Name: new(prefix + name), Help: &help, Type: &kind}
+}
+
+func gauge(name, help string, n int) *dto.MetricFamily {
+	f := family(name, help, dto.MetricType_GAUGE)
+	f.Metric = []*dto.Metric{{Gauge: &dto.Gauge{Value: new(float64(n))}}}
+	return f
+}
--- /dev/null
+++ b/internal/router/control.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/front"
+	"mossproxy.example/mossproxy/internal/pure/drain"
+)
+
+// ErrEnding is the answer to who would change a router that has been told to end.
+var ErrEnding = errors.New("this process is ending")
+
+// Control is how operators reach the pools of a process. Its methods may be called from any goroutine.
+type Control struct {
+	mu    sync.Mutex
+	want  int // pools that are to come
+	pools []*drainer
+}
+
+// NewControl is for a process of as many pools.
+func NewControl(pools int) *Control { return &Control{want: pools} }
+
+// add makes a pool known that has begun to take clients.
+func (c *Control) add(d *drainer) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pools = append(c.pools, d)
+}
+
+// all are the pools that take clients, and whether those are all there are.
+func (c *Control) all() (pools []*drainer, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.pools), len(c.pools) == c.want
+}
+
+// Ready says whether clients may be sent to every pool.
+func (c *Control) Ready() bool {
+	pools, complete := c.all()
+	return complete && !slices.ContainsFunc(pools, func(d *drainer) bool { return !d.ready() })
+}
+
+// Counts are the figures of all pools.
+func (c *Control) Counts() (sum engine.Counts) {
+	pools, _ := c.all()
+	for _, d := range pools {
+		sum.Add(d.counts())
+	}
+	return sum
+}
+
+// OutOfService has every pool send its clients away, and returns when that is in force.
+func (c *Control) OutOfService(ctx context.Context) error {
+	return c.each(ctx, func(d *drainer, now float64) error { d.m.OutOfService(now); return nil })
+}
+
+// InService ends that, and returns when it is in force.
+func (c *Control) InService(ctx context.Context) error {
+	return c.each(ctx, func(d *drainer, _ float64) error {
+		if !d.m.InService() {
+			return ErrEnding
+		}
+		return nil
+	})
+}
+
+// each has something done by every pool.
+func (c *Control) each(ctx context.Context, do func(*drainer, float64) error) error {
+	pools, complete := c.all()
+	if !complete {
+		return errors.New("this process has not begun to take clients")
+	}
+	var err error
+	for _, d := range pools {
+		err = errors.Join(err, d.ask(ctx, do))
+	}
+	return err
+}
+
+// drainer carries out for the fronts of a pool what the machine settles. Its goroutine alone uses the machine.
+type drainer struct {
+	m      drain.Machine
+	rs     engines
+	fronts []*front.Clients
+	calls  chan func()
+	over   chan struct{} // closed when nobody is taken any more
+}
+
+func newDrainer(grace time.Duration, rs engines, fronts []*front.Clients) *drainer {
+	return &drainer{m: drain.Machine{Grace: float64(grace) / float64(time.Millisecond)}, rs: rs, fronts: fronts,
+		calls: make(chan func()), over: make(chan struct{})}
+}
+
+// run acts on the machine until it closes. ctx tells the process to end.
+func (d *drainer) run(ctx context.Context) {
+	defer close(d.over)
+	now := unixMS()
+	end := ctx.Done()
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		at := now()
+		d.apply(at)
+		if d.m.Phase(at) == drain.Closing {
+			return
+		}
+		alarm.Reset(time.Duration(min(d.m.Next(at)-at, 3.6e6) * float64(time.Millisecond)))
+		select {
+		case <-end:
+			end = nil
+			d.m.End(now())
+		case call := <-d.calls:
+			call()
+		case <-alarm.C:
+		}
+	}
+}
+
+// apply has the fronts do what holds at a time.
+func (d *drainer) apply(now float64) {
+	phase, invites := d.m.Phase(now), d.m.Invites(now)
+	for _, f := range d.fronts {
+		f.Invite(invites, phase == drain.Serving)
+		f.Empty(phase >= drain.Emptying)
+	}
+}
+
+// ask has something done by the drainer's goroutine, and returns when it is in force.
+func (d *drainer) ask(ctx context.Context, do func(*drainer, float64) error) error {
+	done := make(chan error, 1)
+	call := func() {
+		now := unixMS()()
+		err := do(d, now)
+		d.apply(now)
+		done <- err
+	}
+	select {
+	case d.calls <- call:
+		return <-done
+	case <-d.over:
+		return ErrEnding
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ready says whether clients may be sent to the pool.
+func (d *drainer) ready() bool {
+	return !slices.ContainsFunc(d.fronts, func(f *front.Clients) bool { return !f.Ready() })
+}
+
+// counts are the figures of the pool, whose engines have one list. The router's own requests have a class that is none of the clients'.
+func (d *drainer) counts() (sum engine.Counts) {
+	known, avoided := 0, 0
+	for _, r := range d.rs {
+		c := r.Counts()
+		known, avoided = max(known, c.Known), max(avoided, c.Avoided)
+		c.Classes = slices.DeleteFunc(slices.Clone(c.Classes), func(k engine.ClassCounts) bool { return r.own(k.Class) })
+		sum.Add(c)
+	}
+	sum.Known, sum.Avoided = known, avoided
+	return sum
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,7 @@
 	Usage   *Usage                                   // counts what tenants with limits ask; nil = nobody does
 	InForce func(epoch uint64)                       // told of each such change that counts on all engines
 	Gate    *identity.Gate                           // settles who calls; nil = nobody is asked
+	Control *Control                                 // how operators reach the pool; nil = they don't
 }
 
 // Open opens the server file that a configuration names. Without one, discovery tells of servers. Links to them carry TLS where
@@ -116,11 +117,9 @@
 		slog.Info("listening for meta commands", "router", cfg.Name, "addr", cfg.Meta.Addr().String())
 	}
 
-	<-ctx.Done()
-	for _, f := range fronts {
-		f.HandOn()
-	}
-	time.Sleep(cfg.Grace)
+	d := newDrainer(cfg.Grace, rs, fronts)
+	cfg.Control.add(d)
+	d.run(ctx)
 	ln.Close()
 	for _, other := range []net.Listener{cfg.Meta, cfg.TLS} {
 		if other != nil {
@@ -206,6 +205,11 @@
 	extra  []decide.Class // of its own requests
 }
 
+// own says whether a class is that of the router's own requests.
+func (r *router) own(class string) bool {
+	return slices.ContainsFunc(r.extra, func(c decide.Class) bool { return c.Name == class })
+}
+
 // share is what one engine of a pool has of it. To the module each engine is one more router of the tier.
 type share struct {
 	i, n  int
@@ -237,7 +241,7 @@
 	m.Routers, m.Me = m.Routers*s.n, m.Me*s.n+s.i // equal parts of all that routers share: cold servers, the origin, quotas
 	// A value is in memory up to three times, as it came and as it goes out.
 	memory := cfg.Limits.MemoryMB << 20 / int64(s.n)
-	return engine.New(engine.Options{Module: m, Store: s.store, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Seed: cfg.SeedNumber + uint64(s.i), Held: memory / 16,
+	return engine.New(engine.Options{Module: m, Store: s.store, Counts: cfg.Control != nil, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Seed: cfg.SeedNumber + uint64(s.i), Held: memory / 16,
 		Queued: memory / 8, Infers: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
 
