Long values pass through in pieces, from their first byte on

A probe in the log: 1,221 of 6,020 requests had their answer thrown away for a value of over 64 KiB (internal/proto/meta readLength), tried again to the same end, 353 at the origin, and 116 answers of the origin for having neither length nor chunks (origin readBody). Ruled out: slow pieces (no answer ended at its 250 ms), slow heads, memory and descriptors.

Tests: 64 values of 4 MiB at once within 32 MB with short requests beside them, a server that stops, a client that leaves, a wrong end.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -315,6 +315,9 @@
 			reply, err = engine.Reply{Status: decide.ConnectError, Load: decide.NoLoad}, r.err
 		}
 	}
+	if err == nil && reply.Follows > 0 {
+		return c.passOn(w, reply, last)
+	}
 	reuse := err == nil && !last && c.clean()
 	c.mu.Lock()
 	c.busy, c.work, c.rest = false, work{}, nil
@@ -342,6 +345,9 @@
 	default:
 		a, last, err = c.t.proto.Answer(c.in, c.t.addr, w.r, w.try)
 	}
+	if err == nil && a.Follows > 0 { // its first bytes are there before anybody is told: until then it can be tried again
+		_, err = c.in.Peek(1)
+	}
 	if err != nil { // not understood, or it broke off: it has run, and the server was at work
 		a.Status = decide.Spoilt
 	}
--- a/internal/backend/meta/meta.go
+++ b/internal/backend/meta/meta.go
@@ -34,7 +34,11 @@
 // Answer reads the answer to a request.
 func (Protocol) Answer(in *bufio.Reader, _ string, r *engine.Request, _ engine.Try) (engine.Reply, bool, error) {
 	a, err := meta.ReadAnswer(in, command(r)) // an answer that can't be used may still tell the load
-	return engine.Reply{Status: statuses[a.Kind], Body: a.Body, Note: a.Note, Load: settings.ParseLoad(a.Report)}, false, err
+	reply := engine.Reply{Status: statuses[a.Kind], Body: a.Body, Note: a.Note, Load: settings.ParseLoad(a.Report)}
+	if a.Long > 0 {
+		reply.Follows, reply.Tail = a.Long, "\r\n"
+	}
+	return reply, false, err
 }
 
 // Open writes nothing: a connection is used as it is.
--- a/internal/backend/origin/origin.go
+++ b/internal/backend/origin/origin.go
@@ -28,6 +28,7 @@
 
 // Protocol is a backend.Protocol.
 type Protocol struct {
+	Long   bool // values that are long are left to the caller
 	Absent bool // status 404 to a read says that there is no value, and is an answer; else it is a failure
 }
 
@@ -89,7 +90,7 @@
 
 // readResponse reads an answer of the origin with its body. The body is read here, as the library's Close would read
 // an unwanted one to its end, however long that is.
-func readResponse(r *bufio.Reader, method string) (*http.Response, []byte, error) {
+func readResponse(r *bufio.Reader, method string, long bool) (*http.Response, []byte, error) {
 	for range maxProvisional {
 		head, err := readHead(r)
 		if err != nil {
@@ -100,6 +101,9 @@
 		case err != nil:
 			return nil, nil, meta.Malformed("origin answer: %v", err)
 		case resp.StatusCode >= 200:
+			if n := resp.ContentLength; long && resp.StatusCode == http.StatusOK && n > meta.MaxValue && n <= meta.MaxLong {
+				return resp, nil, nil
+			}
 			body, err := readBody(r, resp)
 			return resp, body, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
@@ -109,11 +113,14 @@
 	return nil, nil, meta.Malformed("over %d provisional answers", maxProvisional)
 }
 
-// readBody reads the body that an answer announces; one without a length can't be told from a broken one.
+// readBody reads the body that an answer announces. One without a length ends with the connection: a reset there is no end.
 func readBody(r *bufio.Reader, resp *http.Response) ([]byte, error) {
 	n := resp.ContentLength
 	chunked := slices.Contains(resp.TransferEncoding, "chunked")
-	if n > meta.MaxValue || n < 0 && !chunked {
+	if n < 0 && !chunked {
+		return readToEnd(r)
+	}
+	if n > meta.MaxValue {
 		return nil, meta.Malformed("origin value of %d bytes", n)
 	}
 	body := make([]byte, max(n, 0))
@@ -135,6 +142,18 @@
 	}
 }
 
+// readToEnd reads what comes until the other side ends the connection.
+func readToEnd(r *bufio.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, meta.MaxValue+1))
+	if err != nil {
+		return nil, fmt.Errorf("origin answer: %w", err)
+	}
+	if len(body) > meta.MaxValue {
+		return nil, meta.Malformed("origin value without a length of over %d bytes", meta.MaxValue)
+	}
+	return body, nil
+}
+
 // Answer reads the origin's answer to a request.
 func (p Protocol) Answer(in *bufio.Reader, _ string, q *engine.Request, _ engine.Try) (a engine.Reply, last bool, err error) {
 	a.Load = decide.NoLoad
@@ -142,14 +161,16 @@
 	if q.Write {
 		method = http.MethodPut
 	}
-	resp, body, err := readResponse(in, method)
+	resp, body, err := readResponse(in, method, p.Long && !q.Write)
 	if err != nil {
 		return a, true, err
 	}
 	a.Body, a.Load = body, settings.ParseLoad(resp.Header.Get("X-Backend-Load"))
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		a.Status = decide.OK
+		if a.Status = decide.OK; body == nil && resp.ContentLength > 0 {
+			a.Follows = int(resp.ContentLength)
+		}
 		if q.Write && !isReceipt(a.Body) {
 			return a, true, meta.Malformed("receipt %.40q", a.Body)
 		}
@@ -171,7 +192,7 @@
 
 // Load reads the load.
 func (Protocol) Load(r *bufio.Reader) (decide.Load, error) {
-	resp, _, err := readResponse(r, http.MethodGet)
+	resp, _, err := readResponse(r, http.MethodGet, false)
 	if err != nil {
 		return decide.NoLoad, err
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -55,13 +55,14 @@
 	mu      sync.Mutex
 	open    int // connections open or being opened
 	targets map[*target]struct{}
-	ended   bool // nothing is kept any more
+	ended   bool               // nothing is kept any more
+	longs   map[*long]struct{} // values that are passing
 }
 
 // NewPool keeps at most limit connections to all servers together. Servers close connections that stand idle for
 // connIdle; one that is not up within connectTimeout has failed.
 func NewPool(connIdle, connectTimeout time.Duration, limit int) *Pool {
-	u := &Pool{limit: limit, targets: map[*target]struct{}{}}
+	u := &Pool{limit: limit, targets: map[*target]struct{}{}, longs: map[*long]struct{}{}}
 	u.dialer.Timeout = connectTimeout
 	u.dialer.KeepAlive = -1
 	// A request written to a connection that the server has just closed ends as a reset: be well ahead of it.
@@ -156,6 +157,9 @@
 				t.count(-len(t.idle))
 				t.idle = nil
 			}
+			for l := range u.longs {
+				go l.Drop()
+			}
 			return
 		case <-tick.C:
 		}
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -81,10 +81,22 @@
 	}
 }
 
+// Passed tells how a long value ended, which was served when its first bytes were. It may be called from any goroutine.
+func (e *Engine) Passed(class string, whole bool) {
+	e.Post(func() {
+		e.passing--
+		got := Served
+		if !whole {
+			got = Failed
+		}
+		e.settled(&Request{Class: class}, got)
+	})
+}
+
 // publish makes the counts of this moment what Counts gives.
 func (e *Engine) publish() {
 	c := e.counter
-	out := &Counts{Tries: c.tries.Load(), Open: len(e.open)}
+	out := &Counts{Tries: c.tries.Load(), Open: len(e.open) + e.passing}
 	out.Known, out.Avoided = e.b.Fleet()
 	for _, name := range slices.Sorted(maps.Keys(c.classes)) {
 		out.Classes = append(out.Classes, *c.classes[name])
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -51,6 +51,7 @@
 	ids     *IDs                // nil = this engine is alone
 	origin  string              // kind of the origin
 	counter *counter            // nil = nobody reads figures
+	passing int                 // long values that are on their way to clients
 }
 
 // server is a listed server as the engine knows it.
@@ -395,7 +396,11 @@
 		return
 	}
 	r.over = true
-	e.settled(r.Request, answer.Result)
+	if answer.Long == nil {
+		e.settled(r.Request, answer.Result)
+	} else {
+		e.passing++
+	}
 	if e.store != nil {
 		e.store.Over(r.Request)
 	}
@@ -420,6 +425,9 @@
 
 // outcome ends an attempt, once: what comes after that is a late result, which reaches neither client nor Balancer.
 func (e *Engine) outcome(a *attempt, got Reply) {
+	if got.Long != nil && (a.over || a.r.over) { // nobody takes it
+		defer got.Long.Drop()
+	}
 	if a.over {
 		return
 	}
@@ -430,7 +438,7 @@
 	r.out--
 	if got.Status == decide.OK {
 		keep := e.fetched(a, got)
-		e.finish(r, Answer{Result: Served, Body: got.Body, Content: got.Content, Absent: got.Absent})
+		e.finish(r, Answer{Result: Served, Body: got.Body, Content: got.Content, Absent: got.Absent, Long: got.Long})
 		e.keep(keep)
 	}
 	e.forget(r)
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"mossproxy.example/mossproxy/decide"
 )
@@ -50,9 +51,20 @@
 	Body    []byte  // Served
 	Content any     // Served: the answer in a backend's own terms, where Body does not say it
 	Absent  bool    // Served: there is no value
+	Long    Long    // Served: the value, instead of Body; the front tells by Passed how it ended
 	Wait    float64 // Refused: ms after which to come again; 0 = not told
 }
 
+// Long is a value that is too long to be held: it passes from its server to its client in pieces, at the pace of the slower of both. One of
+// its methods is called, once, by whoever has it last.
+type Long interface {
+	Len() int
+	// Pass writes the value. It blocks, and an error says that not all of it could be written.
+	Pass(to io.Writer) error
+	// Drop lets it go: nobody takes it.
+	Drop()
+}
+
 // Ticket is a request's place at its front. Its Answer is called once, on the engine's goroutine, and does not block.
 type Ticket struct {
 	Answer func(*Request, Answer)
@@ -66,7 +78,10 @@
 	Note    int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out, 4 the origin has no value
 	Absent  bool   // OK: there is no value
 	Load    decide.Load
-	Content any // OK: the answer in the backend's own terms, where Body does not say it
+	Content any    // OK: the answer in the backend's own terms, where Body does not say it
+	Long    Long   // OK: the value, instead of Body
+	Follows int    // a protocol's: so many bytes of a value follow that it has not read,
+	Tail    string // and this behind them
 
 	Owners  []uint32 // the server sent the request on: who may serve it from now on; nil = as before
 	Asking  bool     // for one attempt alone, by leave: its slot has not moved yet
--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -17,6 +18,8 @@
 	ready   bool
 	request *engine.Request // nil = the answer was known at once
 	party   string          // who the answer is booked to
+	long    engine.Long     // the value behind text; nil = text is the answer
+	class   string          // of such an answer's request
 }
 
 // debt is what is booked to a party for an answer that its client has not taken yet.
@@ -34,6 +37,22 @@
 	return sl
 }
 
+// serve gives the answer to a request that ends with a long value: text is what comes ahead of it.
+func (sl *slot) serve(text []byte, class string, long engine.Long) {
+	sl.c.mu.Lock()
+	sl.long, sl.class = long, class
+	sl.c.mu.Unlock()
+	sl.answer(text, true)
+}
+
+// drop lets go of a long value that nobody takes.
+func (sl *slot) drop() {
+	if sl.long != nil {
+		sl.long.Drop()
+		go sl.c.s.e.Passed(sl.class, false) // it may wait for the engine, on whose goroutine this may be
+	}
+}
+
 // answer gives the answer to a command. It does not block. On the engine's goroutine the answers of a batch of events go out
 // together.
 func (sl *slot) answer(text []byte, engines bool) {
@@ -48,6 +67,7 @@
 	}
 	if sl.text, sl.ready = text, true; c.broken {
 		c.s.e.Paid(party, len(text))
+		sl.drop()
 		return
 	}
 	switch {
@@ -72,7 +92,7 @@
 	}
 	c.mu.Unlock()
 	for len(out) > 0 {
-		if !c.quick(&out, size) {
+		if c.last != nil || !c.quick(&out, size) {
 			c.s.wg.Go(func() { c.write(out) })
 			return
 		}
@@ -135,6 +155,10 @@
 		sl := c.queue[0]
 		out, size, c.owed = append(out, sl.text), size+len(sl.text), append(c.owed, debt{sl.party, len(sl.text)})
 		c.queue, c.writing = c.queue[1:], c.writing+1
+		if sl.long != nil { // the next answer comes behind the whole of it
+			c.last = sl
+			break
+		}
 	}
 	return out, size
 }
@@ -144,10 +168,41 @@
 	for len(out) > 0 {
 		c.SetWriteDeadline(time.Now().Add(answerTime))
 		_, err := out.WriteTo(c.Conn)
+		if sl := c.last; sl != nil { // nobody else looks at it while answers are being written
+			c.last = nil
+			err = c.pass(sl, err)
+		}
 		out, _ = c.written(err)
 	}
 }
 
+// longEnd ends an answer with a long value. Without it the client can tell that the value is not whole.
+var longEnd = []byte("\r\n")
+
+// pass passes on the long value of an answer whose beginning was written, or not, which err says.
+func (c *clientConn) pass(sl *slot, err error) error {
+	if err != nil {
+		sl.long.Drop()
+	} else if err = sl.long.Pass(taker{c.Conn}); err == nil {
+		_, err = taker{c.Conn}.Write(longEnd)
+	}
+	c.s.e.Passed(sl.class, err == nil)
+	return err
+}
+
+// taker is a client that takes a value in pieces, each in its time.
+type taker struct{ net.Conn }
+
+// Write writes a piece.
+func (t taker) Write(b []byte) (int, error) {
+	t.SetWriteDeadline(time.Now().Add(answerTime))
+	n, err := t.Conn.Write(b)
+	if err != nil {
+		return n, fmt.Errorf("client: %w", err)
+	}
+	return n, nil
+}
+
 // written books what has been written and returns what is next.
 func (c *clientConn) written(err error) (out net.Buffers, size int) {
 	c.mu.Lock()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -40,6 +40,7 @@
 	closes  time.Time // since then
 	since   time.Time // idle since, while nothing is open
 	flushes bool      // its answers are written at the end of the engine's batch
+	last    *slot     // the last answer of those that are being written ends with a long value; who writes them alone uses it
 
 	raw     syscall.RawConn // nil = it has none
 	once    quickWrite
@@ -198,6 +199,10 @@
 				if a.Result != engine.Gone {
 					text = cmd.Render(q, a)
 				}
+				if a.Long != nil {
+					sl.serve(text, q.Class, a.Long)
+					return
+				}
 				sl.answer(text, true)
 			}
 			c.s.e.Post(func() { c.s.e.Arrive(cmd.Request, read, &sl.Ticket) })
@@ -222,19 +227,25 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
+	c.abandon()
+	return false
+}
+
+// abandon gives up all that is open: nobody takes an answer any more.
+func (c *clientConn) abandon() {
 	c.mu.Lock()
 	open := c.queue
 	c.broken, c.queue = true, nil
 	for _, sl := range open {
 		if sl.ready {
 			c.s.e.Paid(sl.party, len(sl.text))
+			sl.drop()
 		}
 	}
 	c.mu.Unlock()
 	for _, sl := range open {
 		c.s.e.Post(func() { c.s.e.Leave(&sl.Ticket) })
 	}
-	return false
 }
 
 // finish waits until all answers are out and closes the connection. A close with input unread would reset it, and might
@@ -247,6 +258,9 @@
 	}
 	broken := c.broken
 	c.mu.Unlock()
+	if broken {
+		c.abandon()
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && turnedAway && !broken && half.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerTime))
 		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, lineSize)) //nolint:errcheck // it is unwanted
--- a/internal/front/meta/meta.go
+++ b/internal/front/meta/meta.go
@@ -128,6 +128,8 @@
 		switch {
 		case a.Absent:
 			return meta.Absent(q.ID)
+		case a.Long != nil:
+			return meta.ServedHead(q.ID, a.Long.Len())
 		case a.Content != nil: // in terms that this protocol has no words for
 			return meta.Failure()
 		}
--- a/internal/proto/meta/meta.go
+++ b/internal/proto/meta/meta.go
@@ -18,7 +18,8 @@
 const (
 	MaxLine  = 4096     // of a command or an answer
 	MaxKey   = 250      // memcache's own limit
-	MaxValue = 64 << 10 // of the protocol
+	MaxValue = 64 << 10 // that is held as a whole
+	MaxLong  = 4 << 20  // that passes through in pieces
 	MaxID    = 64
 	MaxFacts = 32
 )
@@ -69,9 +70,9 @@
 }
 
 // readLength reads the length of a value.
-func readLength(text string) (int, error) {
+func readLength(text string, most int) (int, error) {
 	n, err := strconv.ParseUint(text, 10, 31)
-	if err != nil || n > MaxValue {
+	if err != nil || n > uint64(most) {
 		return 0, Malformed("value length %.40q", text)
 	}
 	return int(n), nil
@@ -120,7 +121,7 @@
 	}
 	c.Key = parts[1]
 	if c.Verb == "ms" {
-		if c.Length, err = readLength(parts[2]); err != nil {
+		if c.Length, err = readLength(parts[2], MaxValue); err != nil {
 			return c, err
 		}
 	} else if parts[2] != "v" {
@@ -271,6 +272,7 @@
 	Body   []byte // Done: the value or the receipt
 	Note   int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
 	Report string // the load report, as it came
+	Long   int    // Done: length of a value that is not read, with its end; 0 = Body is the value
 }
 
 // answerKinds are the beginnings of a cache server's answers.
@@ -309,7 +311,7 @@
 	return line, report, nil
 }
 
-// ReadAnswer reads a cache server's answer to a command. An error leaves the connection without use.
+// ReadAnswer reads a cache server's answer to a command, but for the value where that is long. An error leaves the connection without use.
 func ReadAnswer(r *bufio.Reader, c *Command) (Answer, error) {
 	var a Answer
 	line, report, err := readAnswerLine(r)
@@ -327,7 +329,9 @@
 	case kind == "VA" && c.Verb == "mg":
 		if id, err = answerID(flags[1:]); err == nil && id == c.ID { // else its value is nobody's, and not read
 			var n int
-			if n, err = readLength(flags[0]); err == nil {
+			if n, err = readLength(flags[0], MaxLong); err == nil && n > MaxValue {
+				a.Long = n
+			} else if err == nil {
 				a.Body, err = ReadValue(r, n, false)
 			}
 		}
@@ -401,6 +405,9 @@
 	return append(append(b, body...), "\r\n"...)
 }
 
+// ServedHead is the beginning of an answer with a value of n bytes, which the value and a line end follow.
+func ServedHead(id string, n int) []byte { return fmt.Appendf(nil, "VA %d O%s\r\n", n, id) }
+
 // NotTaken says that a request is not taken, for what its sender may or may not do: it has not run, and trying it again as it is brings
 // the same.
 func NotTaken(why string, wait float64) []byte {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -297,7 +297,7 @@
 func newLinks(cfg Setup, limit int) *links {
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	l := &links{backend.NewPool(ms(cfg.Checked.Config.ConnIdle), ms(cfg.Checked.ConnectTimeout), limit), meta.Protocol{}, cfg.Checked.Config.OriginKind,
-		origin.Protocol{Absent: cfg.cluster != nil}}
+		origin.Protocol{Absent: cfg.cluster != nil, Long: cfg.cluster == nil}}
 	if cfg.Links != nil {
 		l.pool.Secure(cfg.Links)
 	}
