--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -36,6 +36,8 @@
 	FetchCost float64
 	// Admin is the administration API; nil = there is none.
 	Admin *Admin
+	// Operator is where operators call; "" = nowhere.
+	Operator string
 }
 
 // MaxFile is the longest configuration that is read, in bytes.
@@ -59,6 +61,7 @@
 	Pools     []poolKeys   `toml:"pool"`
 	Callers   callersKeys  `toml:"callers"`
 	Admin     adminKeys    `toml:"admin"`
+	Operator  string       `toml:"operator"`
 	Log       logKeys      `toml:"log"`
 	End       *struct{}    `toml:"end"`
 }
@@ -276,6 +279,10 @@
 	}
 	var names, addresses []string
 	out.Admin = c.admin(out.Callers, &addresses)
+	if out.Operator = doc.Operator; doc.Operator != "" {
+		c.listen("operator", doc.Operator, &addresses)
+		sockets -= OperatorReserve
+	}
 	total := 0.0
 	for i := range doc.Pools {
 		part := number(c, fmt.Sprintf("pool[%d].part", i), doc.Pools[i].Part, 1, 0.01, 100, "")
@@ -518,6 +525,7 @@
 	differs("name", f.Name != next.Name)
 	differs("limits.cores", f.Cores != next.Cores)
 	differs("log", f.Log != next.Log)
+	differs("operator", f.Operator != next.Operator)
 	differs("admin", !reflect.DeepEqual(f.Admin, next.Admin))
 	differs("callers", !reflect.DeepEqual(f.Callers, next.Callers))
 	if len(f.Pools) != len(next.Pools) {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -47,6 +47,10 @@
 // FDReserve is what the process holds beside connections: standard streams, the listener, the poller, discovery.
 const FDReserve = 32
 
+// OperatorReserve is what operators' calls may hold beside that, where they have an address: as many calls at once, their listener and the
+// call that has come before another one gives way.
+const OperatorReserve = 18
+
 // comeAfterStop is for how long connections are taken on the platform once the router is told to stop: for 0.4 s new
 // ones still come.
 const comeAfterStop = 500 * time.Millisecond
--- a/internal/router/room.go
+++ b/internal/router/room.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"time"
 
+	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/backend"
 	"mossproxy.example/mossproxy/internal/engine"
 )
@@ -102,3 +103,39 @@
 	}
 	return nil
 }
+
+// begin gives the engines what the process before has handed over, or the list that the configuration remembers.
+func (rs engines) begin(cfg Setup) {
+	for i, r := range rs {
+		r.Post(func() {
+			if len(cfg.Handed) == len(rs) {
+				err := r.Adopt(cfg.Handed[i])
+				if err == nil {
+					return
+				}
+				slog.Warn("handover: what was learned is not taken", "why", err)
+			}
+			r.list(decide.Remembered, cfg.Known)
+		})
+	}
+}
+
+// Hand is what the engines of all pools have to hand over, by pool. It returns when ctx ends at the latest, with nothing.
+func (c *Control) Hand(ctx context.Context) (out [][]engine.Handed) {
+	pools, _ := c.all()
+	for _, d := range pools {
+		var of []engine.Handed
+		for _, r := range d.rs {
+			got := make(chan engine.Handed, 1)
+			r.Post(func() { got <- r.Hand() })
+			select {
+			case h := <-got:
+				of = append(of, h)
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		out = append(out, of)
+	}
+	return out
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,7 @@
 	Gate    *identity.Gate                           // settles who calls; nil = nobody is asked
 	Control *Control                                 // how operators reach the pool; nil = they don't
 	Part    float64                                  // of the limits that may be used at first: another process of the router lives; 0 = all
+	Handed  []engine.Handed                          // what its engines have handed over; others than these engines would have are not taken
 }
 
 // Open opens the server file that a configuration names. Without one, discovery tells of servers. Links to them carry TLS where
@@ -94,10 +95,6 @@
 		wg.Go(func() { r.Run(work) })
 		wg.Go(func() { pools[i].Sweep(work) })
 	}
-	if cfg.Servers == nil && cfg.cluster == nil {
-		rs.each(func(r *router) { r.list(decide.Remembered, cfg.Known) })
-	}
-	wg.Go(func() { rs.discover(work, cfg, updates) })
 	d := newDrainer(cfg.Grace, rs, fronts, room{pools: pools, links: max(1, attempts/n), part: 1})
 	if cfg.Part > 0 {
 		cfg.Control.memory(cfg.Part)
@@ -105,6 +102,10 @@
 			return err
 		}
 	}
+	if cfg.Servers == nil && cfg.cluster == nil {
+		rs.begin(cfg)
+	}
+	wg.Go(func() { rs.discover(work, cfg, updates) })
 	for _, f := range fronts {
 		f.Start()
 	}
--- a/internal/service/platform.go
+++ b/internal/service/platform.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/handover"
 	"mossproxy.example/mossproxy/internal/operator"
 	"mossproxy.example/mossproxy/internal/router"
@@ -36,7 +37,7 @@
 	}
 	setup.Control = router.NewControl(1)
 	setup.Control.Memory(cfg.Limits.MemoryMB << 20 * 6 / 10)
-	cfg.Limits.Sockets -= operator.Reserve
+	cfg.Limits.Sockets -= config.OperatorReserve
 	defer operate(calls, setup.Control)()
 	path := handover.Path(os.TempDir(), cfg.Listen)
 	ln, taken, err := takeOver(ctx, path, cfg.Listen)
@@ -44,7 +45,7 @@
 		return err
 	}
 	if taken != nil {
-		setup.Part = taken.Part
+		setup.Part, setup.Handed = taken.Part, learned(taken.Learned)
 	}
 	life, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -71,6 +72,19 @@
 	return ln, nil, nil
 }
 
+// learned reads what the process before has learned: of one pool. What can't be read is as good as nothing.
+func learned(text []byte) []engine.Handed {
+	var pools [][]engine.Handed
+	if err := json.Unmarshal(text, &pools); err != nil {
+		slog.Warn("handover: what was learned is not taken", "why", err)
+		return nil
+	}
+	if len(pools) != 1 {
+		return nil
+	}
+	return pools[0]
+}
+
 // listenShared listens at an address beside another process that does so by this too.
 func listenShared(ctx context.Context, addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
@@ -123,8 +137,11 @@
 	if g.Part, err = e.Control.Yield(ctx); err != nil {
 		return g, err
 	}
-	g.Learned, err = json.Marshal(nil)
-	return g, err
+	if g.Learned, err = json.Marshal(e.Control.Hand(ctx)); err != nil { // the new process does without
+		slog.Warn("handover: what was learned can't be said", "err", err)
+		g.Learned = nil
+	}
+	return g, nil
 }
 
 // operate serves operators' calls until stop is called, which waits for the end of it: a process that ends answers them to the last.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -27,12 +27,14 @@
 
 // Service is a router of one's own.
 type Service struct {
-	path  string
-	file  *config.File
-	pools []*pool
-	known *known // who may call; nil = nobody is asked
-	admin *administration
-	disk  func(dir string) fsys.FS // of the administration's store
+	path    string
+	file    *config.File
+	pools   []*pool
+	known   *known // who may call; nil = nobody is asked
+	admin   *administration
+	calls   net.Listener // of operators; nil = they have no address
+	control *router.Control
+	disk    func(dir string) fsys.FS // of the administration's store
 }
 
 // pool is one running pool.
@@ -59,7 +61,14 @@
 	}
 	s := &Service{path: path, file: file, disk: disk}
 	seed(file)
+	if file.Operator != "" {
+		if s.calls, err = net.Listen("tcp", file.Operator); err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+		s.control = router.NewControl(len(file.Pools))
+	}
 	if s.known, err = openKnown(file); err != nil {
+		s.close()
 		return nil, err
 	}
 	for _, p := range file.Pools {
@@ -68,6 +77,7 @@
 			s.close()
 			return nil, fmt.Errorf("pool %s: %w", p.Name, err)
 		}
+		q.setup.Control = s.control
 		s.pools = append(s.pools, q)
 	}
 	if file.Admin != nil {
@@ -151,6 +161,9 @@
 }
 
 func (s *Service) close() {
+	if s.calls != nil {
+		s.calls.Close()
+	}
 	for _, p := range s.pools {
 		p.close()
 	}
@@ -168,6 +181,14 @@
 	return out
 }
 
+// Operator is the address of operators, "" where they have none.
+func (s *Service) Operator() string {
+	if s.calls == nil {
+		return ""
+	}
+	return s.calls.Addr().String()
+}
+
 // Callers are the figures of who has called; false where nobody is asked.
 func (s *Service) Callers() (identity.Figures, bool) {
 	if s.known == nil {
@@ -181,6 +202,9 @@
 func (s *Service) Run(ctx context.Context, hup <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	if s.calls != nil {
+		defer operate(s.calls, s.control)()
+	}
 	var wg sync.WaitGroup
 	ended := make([]error, len(s.pools))
 	for i, p := range s.pools {
