Long writes are held whole within a bound; a head written over two seconds is served

Two seconds from connecting cut a client that took two seconds for its head (TestHeadWrittenOverTwoSeconds: 20 of 20 ended without an answer; front.firstTime): 2.6 s for the first command, 2.2 s for later ones, and 4 us more for each byte of a value. Writes to 4 MiB are held whole within a sixteenth of the memory, and refused beyond. With callers, the head of a long value was that of an empty one (renderAs): found by reading, a test now. A new process's figures stood at 0 for 50 ms after it was ready: counts are shown with each list.

--- a/internal/engine/allocs_test.go
+++ b/internal/engine/allocs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"testing"
+	"time"
 
 	"mossproxy.example/mossproxy/decide"
 )
@@ -24,9 +25,12 @@
 
 // instantEngine runs an engine of three servers that answer at once, and gives what asks it for one read and waits for the
 // answer.
-func instantEngine(tb testing.TB) (ask func()) {
+func instantEngine(tb testing.TB) (ask func()) { return instantEngineThat(tb, false) }
+
+// instantEngineThat counts or does not.
+func instantEngineThat(tb testing.TB, counts bool) (ask func()) {
 	tb.Helper()
-	e, err := New(Options{Seed: 5, Held: 1 << 20, Queued: 1 << 20, Module: decide.Config{Routers: 1, Alone: true, MaxAttempts: 4, ColdFrom: 1, FallMult: 3, FallFor: 1000,
+	e, err := New(Options{Counts: counts, Seed: 5, Held: 1 << 20, Queued: 1 << 20, Module: decide.Config{Routers: 1, Alone: true, MaxAttempts: 4, ColdFrom: 1, FallMult: 3, FallFor: 1000,
 		ConnIdle: 1000, Classes: []decide.Class{{Name: "read", Aim: 150, Deadline: 200, Worth: 1}}}}, instant{})
 	if err != nil {
 		tb.Fatal(err)
@@ -84,3 +88,21 @@
 		ask()
 	}
 }
+
+// BenchmarkFiguresRatio compares requests to an engine that counts with those to one that does not, in turn.
+func BenchmarkFiguresRatio(b *testing.B) {
+	with, without := instantEngineThat(b, true), instantEngineThat(b, false)
+	var took [2]time.Duration
+	const part = 200
+	for b.Loop() {
+		for i, ask := range []func(){without, with} {
+			began := time.Now()
+			for range part {
+				ask()
+			}
+			took[i] += time.Since(began)
+		}
+	}
+	b.ReportMetric(float64(took[1])/float64(took[0]), "with/without")
+	b.ReportMetric(float64(took[1])/float64(part*b.N), "ns/request")
+}
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -93,16 +93,24 @@
 	})
 }
 
-// publish makes the counts of this moment what Counts gives.
+// publish makes the counts of this moment what Counts gives, again and again.
 func (e *Engine) publish() {
+	e.show()
+	e.set(&e.counter.due, publishEvery)
+}
+
+// show makes the counts of this moment what Counts gives.
+func (e *Engine) show() {
 	c := e.counter
+	if c == nil {
+		return
+	}
 	out := &Counts{Tries: c.tries.Load(), Open: len(e.open) + e.passing}
 	out.Known, out.Avoided = e.b.Fleet()
 	for _, name := range slices.Sorted(maps.Keys(c.classes)) {
 		out.Classes = append(out.Classes, *c.classes[name])
 	}
 	c.published.Store(out)
-	e.set(&c.due, publishEvery)
 }
 
 // Counts are the engine's latest, none where it does not count. It may be called from any goroutine, and waits for nothing.
--- a/internal/engine/handed.go
+++ b/internal/engine/handed.go
@@ -39,5 +39,7 @@
 		return errors.New("handed over: too late, a list is there")
 	}
 	e.List(decide.Remembered, h.Servers)
-	return e.b.Learn(e.now(), h.Learned)
+	err := e.b.Learn(e.now(), h.Learned)
+	e.show()
+	return err
 }
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -42,6 +42,7 @@
 		}
 	}
 	e.b.Servers(e.now(), kind, entries)
+	e.show() // who finds the router ready finds its list too
 	if len(e.targets) > 0 {
 		e.ready.Store(true)
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -36,9 +36,12 @@
 	broken  bool      // nothing can be written any more
 	asked   bool      // a command has come
 	reading bool      // another has begun
+	got     int       // bytes read since it has begun, and perhaps some behind it
+	dropped bool      // closing, and what is being read is not waited for
 	closing bool      // ends as soon as nothing waits for its answer
 	closes  time.Time // since then
 	since   time.Time // idle since, while nothing is open
+	due     time.Time // when the command that is being read is to be whole
 	flushes bool      // its answers are written at the end of the engine's batch
 	last    *slot     // the last answer of those that are being written ends with a long value; who writes them alone uses it
 
@@ -119,7 +122,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open() == 0 {
-		c.closing = true
+		c.closing, c.dropped = true, true
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -128,11 +131,25 @@
 func (c *clientConn) begin(first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading = true; !first || c.closing {
-		c.SetReadDeadline(time.Now().Add(commandTime))
+	c.reading, c.got = true, 0
+	if c.due = c.since.Add(firstTime); !first || c.closing {
+		c.due = time.Now().Add(commandTime)
+		c.SetReadDeadline(c.due)
 	}
 }
 
+// Read reads what the client sends, for the connection's reader alone. A command that has begun has more time for a long value, by its bytes.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.got += n; c.got > lineSize && c.reading && !c.dropped { // no line is that long: it is a value
+		c.due = c.due.Add(time.Duration(n) * valueTime)
+		c.SetReadDeadline(c.due)
+	}
+	return n, err //nolint:wrapcheck // its kind counts
+}
+
 // await sets the time for the next command: none while requests are open, as then the client's leaving is waited for.
 // It tells whether one is to be read.
 func (c *clientConn) await() bool {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,21 +19,22 @@
 
 // Bounds on clients. What a client is owed an answer for is bounded by its own deadline.
 const (
-	lineSize     = 4096                   // of a reader's buffer, and the longest line that a protocol can read
-	maxPipelined = 16                     // commands of a connection that wait for their answer
-	maxUnknown   = 4                      // commands of a connection that the router does not know
-	firstTime    = 2 * time.Second        // for the first command to come whole
-	commandTime  = 2 * time.Second        // for a later one to come whole once it has begun
-	rest         = 100 * time.Millisecond // a connection that has just been answered is kept for
-	answerTime   = 5 * time.Second        // for a client to take its answers
-	lingerTime   = 500 * time.Millisecond // for a client that was turned away to close
-	lingerBytes  = 256 << 10              // of its input that are read meanwhile
-	slowTime     = 500 * time.Millisecond // before who floods is answered: it costs a place that gives way, and little else
-	newcomer     = 300 * time.Millisecond // a connection that comes while others are closed has for its first byte
-	crossing     = time.Second            // for which commands are read that have come on a connection as it is closed
-	slowStep     = 25 * time.Millisecond  // looks at whether the place is wanted meanwhile
-	askSoon      = 200 * time.Millisecond // a connection that has asked nothing after that
-	asksNothing  = time.Second            // counts as idle for that much longer
+	lineSize     = 4096                    // of a reader's buffer, and the longest line that a protocol can read
+	maxPipelined = 16                      // commands of a connection that wait for their answer
+	maxUnknown   = 4                       // commands of a connection that the router does not know
+	firstTime    = 2600 * time.Millisecond // for the first command to come whole: a client may take two seconds for its head, and more is no good one
+	commandTime  = 2200 * time.Millisecond // for a later one to come whole once it has begun
+	valueTime    = 4 * time.Microsecond    // more for each byte of a long value: a client writes 250 kB a second at least
+	rest         = 100 * time.Millisecond  // a connection that has just been answered is kept for
+	answerTime   = 5 * time.Second         // for a client to take its answers
+	lingerTime   = 500 * time.Millisecond  // for a client that was turned away to close
+	lingerBytes  = 256 << 10               // of its input that are read meanwhile
+	slowTime     = 500 * time.Millisecond  // before who floods is answered: it costs a place that gives way, and little else
+	newcomer     = 300 * time.Millisecond  // a connection that comes while others are closed has for its first byte
+	crossing     = time.Second             // for which commands are read that have come on a connection as it is closed
+	slowStep     = 25 * time.Millisecond   // looks at whether the place is wanted meanwhile
+	askSoon      = 200 * time.Millisecond  // a connection that has asked nothing after that
+	asksNothing  = time.Second             // counts as idle for that much longer
 )
 
 // Protocol is what clients speak.
@@ -172,8 +173,8 @@
 
 func (s *Clients) serve(nc net.Conn) {
 	r := s.readers.Get().(*bufio.Reader)
-	r.Reset(nc)
 	c := &clientConn{Conn: nc, s: s, r: r, since: time.Now()}
+	r.Reset(c)
 	c.changed.L = &c.mu
 	c.flushed, c.once.do = c.flush, c.once.write
 	if sc, ok := nc.(syscall.Conn); ok {
--- a/internal/front/meta/callers.go
+++ b/internal/front/meta/callers.go
@@ -100,8 +100,11 @@
 // renderAs is the final answer to a request that its client knows by another id.
 func renderAs(id string, q *engine.Request, a engine.Answer) []byte {
 	if a.Result == engine.Served && a.Content == nil {
-		if a.Absent {
+		switch {
+		case a.Absent:
 			return meta.Absent(id)
+		case a.Long != nil:
+			return meta.ServedHead(id, a.Long.Len())
 		}
 		return meta.Served(q.Write, id, a.Body)
 	}
--- a/internal/proto/meta/meta.go
+++ b/internal/proto/meta/meta.go
@@ -19,7 +19,7 @@
 	MaxLine  = 4096     // of a command or an answer
 	MaxKey   = 250      // memcache's own limit
 	MaxValue = 64 << 10 // that is held as a whole
-	MaxLong  = 4 << 20  // that passes through in pieces
+	MaxLong  = 4 << 20  // of a write, or of one that passes through in pieces
 	MaxID    = 64
 	MaxFacts = 32
 )
@@ -121,7 +121,7 @@
 	}
 	c.Key = parts[1]
 	if c.Verb == "ms" {
-		if c.Length, err = readLength(parts[2], MaxValue); err != nil {
+		if c.Length, err = readLength(parts[2], MaxLong); err != nil {
 			return c, err
 		}
 	} else if parts[2] != "v" {
--- a/internal/router/long_test.go
+++ b/internal/router/long_test.go
@@ -225,3 +225,42 @@
 		t.Errorf("broken off: %q", got)
 	}
 }
+
+// A long write that comes in pieces over three seconds is carried out whole, once; those that are more at once than may be held are refused,
+// and short ones go on.
+func TestLongWrites(t *testing.T) {
+	const n = 3 << 19
+	o := startFake(t, originOK)
+	d := startDirectory(t, full(box("s-0000000b", startFake(t, hit).Addr), originAt(o.Addr)))
+	cfg := testConfig(t, d.Listener.Addr().String(), config.Config{}.Known)
+	cfg.Limits.MemoryMB = 32 // a sixteenth may be held
+	control := NewControl(1)
+	r := startSetup(t, Setup{Config: cfg, Control: control})
+	until(t, "the router to be ready", control.Ready)
+	slow, value := dial(t, r.addr), longValue("w1", n)
+	slow.send(fmt.Sprintf("ms 7f3a9c21e0b4d655 %d Ow1 Pc=bill,t=t,d=2000\r\n", n))
+	const pieces = 30
+	for k := range pieces {
+		slow.send(value[k*n/pieces : (k+1)*n/pieces])
+		if k == pieces/2 {
+			other := dial(t, r.addr)
+			other.send(fmt.Sprintf("ms 7f3a9c21e0b4d655 %d Ow2 Pc=bill,t=t,d=2000\r\n%s\r\n", n, longValue("w2", n)))
+			if got := other.line(); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+				t.Errorf("a second long write at once: %q", got)
+			}
+			if got := other.ask(bill("s1", 2000)); !strings.HasPrefix(got, "HD Os1 ") {
+				t.Errorf("a short write beside it: %q", got)
+			}
+			next(t, o.Seen, "short write")
+		}
+		time.Sleep(100 * time.Millisecond) // the client's pace
+	}
+	slow.send("\r\n")
+	if got := slow.line(); !strings.HasPrefix(got, "HD Ow1 ") {
+		t.Errorf("got %q", got)
+	}
+	if got := next(t, o.Seen, "write"); !strings.HasSuffix(got, " "+value) || len(o.Seen) > 0 {
+		t.Errorf("the origin got %d bytes, and %d further writes", len(got), len(o.Seen))
+	}
+	until(t, "the figures", func() bool { k := control.Counts().Classes[0]; return k.Served == 2 && k.Refused == 1 })
+}
--- a/internal/service/platform_test.go
+++ b/internal/service/platform_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -308,3 +309,146 @@
 		t.Error("nobody can take over from it")
 	}
 }
+
+// A scrape every 50 ms under full load: each is answered in a second, no figure falls, and in the end they are the test's own count.
+func TestScrapesUnderLoad(t *testing.T) {
+	s := newSite(t, standintest.Hit)
+	p := s.start()
+	c := startCrowd(s.listen, 32)
+	t.Cleanup(c.stop)
+	var last float64
+	longest := time.Duration(0)
+	for range 20 {
+		began := time.Now()
+		served := p.figure(t, `svc_passed{category="read"}`)
+		longest = max(longest, time.Since(began))
+		if served < last {
+			t.Errorf("served falls from %v to %v", last, served)
+		}
+		last = served
+		time.Sleep(50 * time.Millisecond) // the scrapes' pace
+	}
+	t.Logf("the longest answer took %v", longest)
+	if longest > time.Second {
+		t.Errorf("a scrape took %v", longest)
+	}
+	c.stop()
+	standintest.Until(t, "the figures to be the test's", func() bool {
+		return p.figure(t, `svc_passed{category="read"}`) == float64(c.served.Load()) && p.figure(t, "svc_in_progress") == 0
+	})
+	if got, want := p.figure(t, "svc_upstream_tries"), float64(c.served.Load()); got != want {
+		t.Errorf("%v attempts, %v requests that hit", got, want)
+	}
+}
+
+// figure is one figure of the process.
+func (p *process) figure(t *testing.T, name string) float64 {
+	t.Helper()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	resp, err := client.Get("http://" + p.operator + "/control/counters")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
+			n, err := strconv.ParseFloat(v, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+	}
+	t.Fatalf("no figure %s in %s", name, text)
+	return 0
+}
+
+// 3,000 connections that idle or have stopped half way, at 256 descriptors: requests on new ones go on, and operators are answered.
+func TestCrowdThatIdles(t *testing.T) {
+	s := newSite(t, standintest.Hit)
+	p := s.start()
+	for i := range 3000 {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "mg 7f3a9c21") //nolint:errcheck // it may have given way
+		}
+		if i%100 != 0 {
+			continue
+		}
+		conn, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(standintest.Wait))
+		fmt.Fprintf(conn, "mg 7f3a9c21e0b4d655 v Oi%d Pc=read,t=t,d=2000\r\n", i)
+		if got, err := bufio.NewReader(conn).ReadString('\n'); got != fmt.Sprintf("VA 5 Oi%d\r\n", i) {
+			t.Errorf("with %d idle ones: %q, %v", i, got, err)
+		}
+		conn.Close()
+		if got := p.call("GET", "ready"); got != http.StatusOK {
+			t.Errorf("with %d idle ones, operators: %d", i, got)
+		}
+	}
+}
+
+// Each request on a connection of its own, its head written over two seconds: it is served.
+func TestHeadWrittenOverTwoSeconds(t *testing.T) {
+	s := newSite(t, standintest.Hit)
+	s.start()
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", s.listen)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			text := fmt.Sprintf("mg 7f3a9c21e0b4d655 v Os%d Pc=read,t=t,d=2000\r\n", i)
+			const pieces = 8
+			for k := range pieces {
+				io.WriteString(conn, text[k*len(text)/pieces:(k+1)*len(text)/pieces]) //nolint:errcheck // the answer tells
+				if k < pieces-1 {
+					time.Sleep(2 * time.Second / (pieces - 1)) // time itself is what is tested
+				}
+			}
+			conn.SetDeadline(time.Now().Add(standintest.Wait))
+			if got, err := bufio.NewReader(conn).ReadString('\n'); got != fmt.Sprintf("VA 5 Os%d\r\n", i) {
+				t.Errorf("request %d: %q, %v", i, got, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// What the old process has learned shows in the new one's figures from the first on: it avoids the server that was taken for sick.
+func TestNewProcessAvoidsWhomTheOldOneAvoided(t *testing.T) {
+	var sick atomic.Bool
+	s := newSite(t, func(line string) string {
+		if sick.Load() {
+			return "close"
+		}
+		return standintest.Hit(line)
+	})
+	old := s.start()
+	sick.Store(true)
+	c := startCrowd(s.listen, 2)
+	t.Cleanup(c.stop)
+	standintest.Until(t, "the server to be out", func() bool { return old.figure(t, "svc_skipped_cache_servers") == 1 })
+	c.stop()
+	next := s.start()
+	if got := next.figure(t, "svc_skipped_cache_servers"); got != 1 {
+		t.Errorf("the new process avoids %v servers", got)
+	}
+	if got := next.figure(t, "svc_known_cache_servers"); got != 1 {
+		t.Errorf("the new process knows %v servers", got)
+	}
+}
