Room is shared by as many processes of a router as live

Found by reading: where a third process takes over from the second while the first is still answering, the news that the first had gone gave the second all of its room (Control.Regain), beside the third. Now each process knows whether its elder and its heir live, and uses its part of that.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -83,11 +83,11 @@
 	}
 }
 
-// Open is how many connections are open or being opened.
-func (u *Pool) Open() int {
+// Limit is how many connections there may be at most.
+func (u *Pool) Limit() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.open
+	return u.limit
 }
 
 // serial is that of the material of new connections.
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -18,10 +18,12 @@
 
 // Control is how operators reach the pools of a process. Its methods may be called from any goroutine.
 type Control struct {
-	mu    sync.Mutex
-	want  int // pools that are to come
-	pools []*drainer
-	limit atomic.Int64 // of memory, see Memory
+	mu      sync.Mutex
+	want    int // pools that are to come
+	pools   []*drainer
+	limit   atomic.Int64 // of memory, see Memory
+	company company      // guarded by mu
+	sharing sync.Mutex   // held while room is given and taken
 }
 
 // NewControl is for a process of as many pools.
--- a/internal/router/room.go
+++ b/internal/router/room.go
@@ -12,7 +12,7 @@
 	"mossproxy.example/mossproxy/internal/engine"
 )
 
-// half is the part of its limits that a process keeps while another one of its router lives.
+// half is the part of its room that a process keeps while another one takes over from it.
 const half = 0.5
 
 // leastPart is what the new one of two has at least: the old one's connections with requests open end within a deadline.
@@ -45,36 +45,72 @@
 	return err
 }
 
+// company are the other processes of the router that live, as this one knows.
+type company struct {
+	elder float64 // the part that this process began with beside the one before it; 0 = that is gone, or there was none
+	heir  bool    // one that takes over from this one
+}
+
+// part is what this process may use of the limits, and processes how many share them.
+func (c company) part() (part float64, processes int) {
+	part, processes = 1, 1
+	if c.elder > 0 {
+		part, processes = c.elder, 2
+	}
+	if c.heir {
+		part, processes = part*half, processes+1
+	}
+	return part, processes
+}
+
 // Yield has the process keep half of its room, and returns the part that a new one may use: less than the other half where requests
 // still hold more than that.
 func (c *Control) Yield(ctx context.Context) (part float64, err error) {
-	part = half
-	pools, complete := c.all()
-	if !complete {
+	if _, complete := c.all(); !complete {
 		return 0, errors.New("this process has not begun to take clients")
 	}
-	c.memory(half)
-	for _, d := range pools {
-		if err := d.ask(ctx, func(d *drainer, _ float64) error { return d.share(ctx, half, 2) }); err != nil {
-			slog.Warn("handover: room is still taken", "why", err)
-			part = leastPart
-		}
+	part, err = c.with(ctx, func(o *company) { o.heir = true })
+	if err != nil {
+		slog.Warn("handover: room is still taken", "why", err)
+		part = min(part, leastPart)
 	}
-	return part, nil
+	return max(part, leastPart), nil
 }
 
-// Regain has the process use all of its room again: it is the only one. Nobody takes clients in its place.
+// Beside tells that the process begins with a part of the limits, beside the one that it takes over from.
+func (c *Control) Beside(part float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.company.elder = part
+}
+
+// ElderGone tells that the process which this one took over from is gone.
+func (c *Control) ElderGone() { c.regain(func(o *company) { o.elder = 0 }) }
+
+// Regain tells that the process which was to take over from this one is gone: nobody takes clients in its place.
 func (c *Control) Regain() {
-	c.memory(1)
-	err := c.each(context.Background(), func(d *drainer, _ float64) error {
-		d.m.Follow(false)
-		return d.share(context.Background(), 1, 1)
-	})
-	if err != nil && !errors.Is(err, ErrEnding) {
+	c.regain(func(o *company) { o.heir = false })
+	c.each(context.Background(), func(d *drainer, _ float64) error { d.m.Follow(false); return nil }) //nolint:errcheck // one that ends needs not know
+}
+
+func (c *Control) regain(change func(*company)) {
+	if _, err := c.with(context.Background(), change); err != nil && !errors.Is(err, ErrEnding) {
 		slog.Warn("handover: room is not back", "why", err)
 	}
 }
 
+// with has the process use what it may once its company has changed.
+func (c *Control) with(ctx context.Context, change func(*company)) (part float64, err error) {
+	c.sharing.Lock() // one change after the other
+	defer c.sharing.Unlock()
+	c.mu.Lock()
+	change(&c.company)
+	part, processes := c.company.part()
+	c.mu.Unlock()
+	c.memory(part)
+	return part, c.each(ctx, func(d *drainer, _ float64) error { return d.share(ctx, part, processes) })
+}
+
 // Followed tells that another process takes the clients.
 func (c *Control) Followed() {
 	c.each(context.Background(), func(d *drainer, _ float64) error { d.m.Follow(true); return nil }) //nolint:errcheck // one that ends needs not know
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,7 @@
 	}
 	d := newDrainer(cfg.Grace, rs, fronts, room{pools: pools, links: max(1, attempts/n), part: 1})
 	if cfg.Part > 0 {
+		cfg.Control.Beside(cfg.Part)
 		cfg.Control.memory(cfg.Part)
 		if err := d.share(ctx, cfg.Part, 2); err != nil {
 			return err
--- a/internal/service/platform.go
+++ b/internal/service/platform.go
@@ -115,7 +115,7 @@
 			select {
 			case <-taken.Gone():
 				slog.Info("handover: the old process is gone")
-				c.Regain()
+				c.ElderGone()
 			case <-ctx.Done():
 			}
 		})
