--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -29,8 +29,9 @@
 
 // Times of an exchange. A new process that finds nobody there, or somebody who does not answer, starts by itself.
 const (
-	Within  = 800 * time.Millisecond // the whole exchange of the new process
-	letTime = 600 * time.Millisecond // of that, for the old one to give room back
+	Within    = 800 * time.Millisecond // the whole exchange of the new process
+	letTime   = 600 * time.Millisecond // of that, for the old one to give room back
+	sorryTime = 50 * time.Millisecond  // for who comes while another exchange is on
 )
 
 // Path is the socket at which the process of a router that listens there is found.
@@ -70,7 +71,8 @@
 			return fmt.Errorf("handover: %w", err)
 		}
 		if !one.TryLock() {
-			c.SetDeadline(time.Now().Add(50 * time.Millisecond))
+			c.SetDeadline(time.Now().Add(sorryTime))
+			readFrame(c, nil)                                                          //nolint:errcheck // a close ahead of it would look like a crash
 			c.Write(appendFrame(nil, sorry, []byte("another process is taking over"))) //nolint:errcheck // it starts by itself
 			c.Close()
 			continue
