Handover's tests wait for the end of the exchange before

60 runs with -race: an exchange's lock goes a moment after the news of its end, and the next process in the test was told that another is taking over. A process of its own tries once and then starts by itself, which holds there too; the tests now wait.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -61,6 +61,16 @@
 	return Path(dir, "127.0.0.1:11211")
 }
 
+// takeNext takes over once the exchange before is at its end.
+func takeNext(t *testing.T, path, listen string) (taken *Taken, err error) {
+	t.Helper()
+	standintest.Until(t, "the end of the exchange before", func() bool {
+		taken, err = Take(path, listen, 1, time.Second)
+		return err == nil || !strings.Contains(err.Error(), "another process is taking over")
+	})
+	return taken, err
+}
+
 // What is queued at the listener while the old process closes it is served by the new one, and none of it is reset.
 func TestQueueOutlivesTheOldProcess(t *testing.T) {
 	path, k, ln := sockPath(t), newKeeper(), standintest.Listen(t)
@@ -114,7 +124,7 @@
 			path, k, ln := sockPath(t), newKeeper(), standintest.Listen(t)
 			house(t, path, "a", ln, k)
 			for range 2 {
-				taken, err := Take(path, "a", 1, time.Second)
+				taken, err := takeNext(t, path, "a")
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -275,9 +285,6 @@
 		return Grant{}, errors.New("this process is ending")
 	}
 	house(t, path, "a", ln, k)
-	if _, err := Take(path, "b", 1, time.Second); err == nil || !strings.Contains(err.Error(), "the router at a") {
-		t.Errorf("another router: %v", err)
-	}
 	c, err := net.Dial("unix", path)
 	if err != nil {
 		t.Fatal(err)
@@ -288,10 +295,13 @@
 		t.Errorf("noise is answered %q", b)
 	}
 	c.Close()
+	if _, err := takeNext(t, path, "b"); err == nil || !strings.Contains(err.Error(), "the router at a") {
+		t.Errorf("another router: %v", err)
+	}
 	if asked.Load() != 0 {
 		t.Error("room was given back for nobody")
 	}
-	if _, err := Take(path, "a", 1, time.Second); err == nil || !strings.Contains(err.Error(), "this process is ending") {
+	if _, err := takeNext(t, path, "a"); err == nil || !strings.Contains(err.Error(), "this process is ending") {
 		t.Errorf("one that ends: %v", err)
 	}
 	standintest.Next(t, k.regained, "room")
