Test: an answer half written outlives SIGTERM to the old process

The state of a request that was not tested yet at a replacement: a value of 4 MiB of which the client has read the head comes whole, and the old process ends behind it.

--- a/internal/service/platform_test.go
+++ b/internal/service/platform_test.go
@@ -260,6 +260,33 @@
 	}
 }
 
+// SIGTERM to the old process with an answer half written: a long value comes whole, and its connection ends behind it.
+func TestOldProcessEndsAnAnswerThatIsHalfWritten(t *testing.T) {
+	const n = 4 << 20
+	s := newSite(t, func(string) string { return fmt.Sprintf("VA %d O{id} h1\r\n%s\r\n", n, strings.Repeat("x", n)) })
+	old := s.start()
+	conn, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(standintest.Wait))
+	fmt.Fprint(conn, "mg 7f3a9c21e0b4d655 v Olong Pc=read,t=t,d=2000\r\n")
+	in := bufio.NewReader(conn)
+	if got, err := in.ReadString('\n'); got != fmt.Sprintf("VA %d Olong\r\n", n) {
+		t.Fatalf("got %.80q, %v", got, err)
+	}
+	next := s.start()
+	old.stop()
+	standintest.Until(t, "the new process alone to take clients", func() bool { return next.call("GET", "ready") == http.StatusOK })
+	if rest, err := io.ReadAll(in); err != nil || len(rest) != n+2 || string(rest[n:]) != "\r\n" {
+		t.Errorf("%d bytes of %d, %v", len(rest), n+2, err)
+	}
+	if err := standintest.Next(t, old.done, "end of the old process"); err != nil {
+		t.Error(err)
+	}
+}
+
 // A drain of the old process while a new one takes over binds the old one alone; the new one goes through its own.
 func TestDrainDuringReplacement(t *testing.T) {
 	s := newSite(t, standintest.Hit)
