Asking another router no longer crashes where its time ends with the connection

Seen in a run with -race: nil pointer in asker.once's AfterFunc (internal/front/resp/peers.go), which read the asker's connection after close had let it go: a router of a RESP tier would have crashed. Ruled out: the drain's new way back, which does not touch the asker.

--- a/internal/front/resp/peers.go
+++ b/internal/front/resp/peers.go
@@ -149,7 +149,8 @@
 		}
 		a.conn, a.in = c, bufio.NewReaderSize(c, resp.MaxLine)
 	}
-	defer context.AfterFunc(ctx, func() { a.conn.SetDeadline(time.Unix(1, 0)) })() //nolint:errcheck // the read tells
+	conn := a.conn                                                               // by the time it runs, the asker may have let it go
+	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })() //nolint:errcheck // the read tells
 	if _, err := a.conn.Write(question); err != nil {
 		return "", err
 	}
@@ -189,7 +190,7 @@
 	return fmt.Sprintf("%s %d %s", word, slot, p.cfg.Peers[at])
 }
 
-// Drain hands this router's slots on from now on, to the next router that serves.
+// Drain hands this router's slots on from now on, to the next router that serves; or takes them again.
 func (p *Protocol) Drain(yes bool) {
 	if p.draining.Swap(yes) == yes {
 		return
--- a/internal/front/resp/peers_test.go
+++ b/internal/front/resp/peers_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"mossproxy.example/mossproxy/internal/proto/resp"
 	"mossproxy.example/mossproxy/internal/pure/slots"
@@ -194,3 +195,30 @@
 		t.Errorf("%+v, %v", shards, err)
 	}
 }
+
+// A router that is asked ends the connection in the moment in which the time for its answer is up: the asker lets go of the connection, which
+// what ends its waiting must not look for any more.
+func TestAskEndsAsItsTimeIsUp(t *testing.T) {
+	ln := standintest.Listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 100)) //nolint:errcheck // it is closed whatever comes
+			c.Close()
+		}
+	}()
+	for i := range 300 {
+		ctx, stop := context.WithCancel(t.Context())
+		a := &asker{addr: ln.Addr().String()}
+		cancel := time.AfterFunc(time.Duration(i%100)*3*time.Microsecond, stop)
+		if word, err := a.ask(ctx); err == nil {
+			t.Fatalf("answered %q", word)
+		}
+		a.close()
+		cancel.Stop()
+		stop()
+	}
+}
