--- a/review/rig/heldindrain.go
+++ b/review/rig/heldindrain.go
@@ -158,8 +158,8 @@
 	}
 	var broken []string
 	for _, q := range client.sent {
-		if q.at > check+measureSlack-lastAsk && q.at < check {
-			broken = append(broken, fmt.Sprintf("%.2f s after the call the connection was still held, with a request from %.2f s before that (id %s, answered %.2f s after the call)",
+		if q.at > check+measureSlack-lastAsk && q.at < check && q.answered > check+measureSlack {
+			broken = append(broken, fmt.Sprintf("%.2f s after the call the connection was still held, with a request open from %.2f s before that (id %s, answered %.2f s after the call)",
 				check-called, check-q.at, q.id, q.answered-called))
 			break
 		}
