--- a/review/rig/clients.go
+++ b/review/rig/clients.go
@@ -53,10 +53,11 @@
 					case <-time.After(pause):
 					}
 					id, key := newID(), fmt.Sprintf("%016x", uint64(n*1000+i%100+1)*0x9e3779b97f4a7c15)
+					r.note("client", id+" sent: mg "+key)
 					fmt.Fprintf(c, "mg %s v O%s Pc=read-status,t=acme,d=1250\r\n", key, id)
 					var answer string
 					if answer, err = readAnswer(in); err == nil {
-						r.note("client", fmt.Sprintf("%s: %s", id, answer))
+						r.note("client", id+" answered: "+answer)
 					}
 				}
 				c.Close()
--- a/review/rig/hosted.go
+++ b/review/rig/hosted.go
@@ -109,7 +109,7 @@
 		in := bufio.NewReader(c)
 		fmt.Fprintf(c, "auth key %s %s\r\n", id, secret)
 		answer, err := readAnswer(in)
-		r.note("caller", "login: "+answer)
+		r.note("caller", "login with the key "+id+" answered: "+answer)
 		if answer == "HD" {
 			h.mu.Lock()
 			h.loggedIn = append(h.loggedIn, r.now())
@@ -123,11 +123,12 @@
 			case <-time.After(100 * time.Millisecond):
 			}
 			request := newID()
+			r.note("caller", fmt.Sprintf("%s sent: mg %016x", request, n%50+1))
 			fmt.Fprintf(c, "mg %016x v O%s Pc=read-status,d=1250\r\n", n%50+1, request)
 			if answer, err = readAnswer(in); err != nil {
 				break
 			}
-			r.note("caller", request+": "+answer)
+			r.note("caller", request+" answered: "+answer)
 			if strings.HasPrefix(answer, "VA ") {
 				h.mu.Lock()
 				h.served = append(h.served, r.now())
--- a/review/rig/run.go
+++ b/review/rig/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -71,14 +72,18 @@
 	ended    chan struct{}
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// freeAddr returns a loopback address that was free a moment ago. Its port lies below those that the system gives to
+// outgoing connections, so that none of these takes it in between.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
+		if err != nil {
+			continue
+		}
+		defer ln.Close()
+		return ln.Addr().String(), nil
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port was found")
 }
 
 // object is a JSON object.
