--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"context"
+	"log/slog"
 	"math"
 	"sync/atomic"
 	"time"
@@ -54,18 +55,18 @@
 	targets       map[uint32]*server
 	serversByAddr map[string][]uint32 // IDs of the servers at an address
 	starts        startTimes
-	ready         atomic.Bool   // a server list is held
-	inferStarts   bool          // starts are inferred from refused connections, as nobody reports them
-	store         Store         // nil = the router does not store fetched values
-	tenants       TenantLimiter // nil = tenants are not tracked
-	ids           *RequestIDs   // nil = this engine shares request IDs with no other
-	originKind    string        // kind of the origin in server lists
-	counter       *counter      // nil = no counts are published
-	traceRequests bool          // every request is logged
-	shutdownAt    float64       // no answer is given after this time, as the process ends; +Inf = not ending
-	streaming     int           // streamed values on their way to clients
-	Guard         *guard.Guard  // counts checks and violations of invariants; not nil after New
-	reportRules   bool          // the guard's counts are part of this engine's counts
+	ready         atomic.Bool               // a server list is held
+	inferStarts   bool                      // starts are inferred from refused connections, as nobody reports them
+	store         Store                     // nil = the router does not store fetched values
+	tenants       TenantLimiter             // nil = tenants are not tracked
+	ids           *RequestIDs               // nil = this engine shares request IDs with no other
+	originKind    string                    // kind of the origin in server lists
+	counter       *counter                  // nil = no counts are published
+	traceRequests bool                      // every request is logged
+	admission     atomic.Pointer[Admission] // decides on requests that arrive while the router drains or ends
+	streaming     int                       // streamed values on their way to clients
+	Guard         *guard.Guard              // counts checks and violations of invariants; not nil after New
+	reportRules   bool                      // the guard's counts are part of this engine's counts
 }
 
 // server is the engine's record of a listed server.
@@ -157,7 +158,7 @@
 // decide rejects.
 func New(o Options, backend Backend) (*Engine, error) {
 	s := o.Config
-	e := &Engine{traceRequests: tracingEnabled(), shutdownAt: math.Inf(1), clock: newClock(), backend: backend, watchList: func() {}, hedging: s.Copies,
+	e := &Engine{traceRequests: tracingEnabled(), clock: newClock(), backend: backend, watchList: func() {}, hedging: s.Copies,
 		maxAttempts: s.MaxAttempts, events: newEvents(), requests: map[uint32]*request{},
 		targets: map[uint32]*server{}, openByID: map[string]*request{}, serversByAddr: map[string][]uint32{}, inferStarts: o.InferStarts,
 		store: o.Store, tenants: o.Tenants, ids: o.IDs, originKind: s.OriginKind}
@@ -165,6 +166,7 @@
 		e.Guard = &guard.Guard{}
 	}
 	e.reportRules = o.ReportRules
+	e.SetAdmission(admitAll{})
 	if o.CollectCounts {
 		e.counter = &counter{classes: map[string]*ClassCounts{}, timer: timer{kind: countsPublication}}
 	}
@@ -228,12 +230,6 @@
 	return milliseconds(longest)
 }
 
-// SetShutdownDeadline makes all requests accepted from now on get their answer by the given time, when the
-// process ends.
-func (e *Engine) SetShutdownDeadline(at time.Time) {
-	e.shutdownAt = e.now() + float64(time.Until(at))/float64(time.Millisecond)
-}
-
 // Size is the number of objects that an engine holds.
 type Size struct {
 	Requests, Open    int // requests with anything in flight, and unanswered ones
@@ -395,14 +391,18 @@
 		handle.OnAnswer(q, Answer{Result: Duplicate})
 		return
 	}
-	for e.lastID++; e.requests[e.lastID] != nil; e.lastID++ { // IDs are reused after 2^32 requests
-	}
-	now := e.now()
 	// A client can't extend the deadline of its class, so that no record is kept for longer.
 	class, _ := e.Class(q.Class)
+	now := e.now()
+	answerBy, admitted := (*e.admission.Load()).Admit(now, readAt+min(q.Wait, class.Deadline))
+	if !admitted && !q.CacheFill {
+		e.rejectOnArrival(q, handle)
+		return
+	}
+	for e.lastID++; e.requests[e.lastID] != nil; e.lastID++ { // IDs are reused after 2^32 requests
+	}
+	remaining := max(0, answerBy-now)
 	q.Serial, q.Repeatable = requestSerial.Add(1), class.Effect == decide.Repeatable
-	remaining := max(0, min(q.Wait, class.Deadline)-(now-readAt))
-	remaining = max(0, min(remaining, e.shutdownAt-now))
 	r := &request{Request: q, id: e.lastID, readAt: readAt, deadline: now + remaining, class: class, client: handle.Client, handle: handle}
 	e.requests[r.id], e.openByID[q.ID], handle.request = r, r, r
 	if e.store != nil {
@@ -420,6 +420,17 @@
 	e.balancer.Request(now, d)
 }
 
+// rejectOnArrival rejects a request that is not admitted. No attempt of it is made.
+func (e *Engine) rejectOnArrival(q *Request, handle *RequestHandle) {
+	e.ids.release(q.ID)
+	e.HeldBytes.Release(q.HeldBytes)
+	e.countAnswer(q.Class, Refused)
+	if e.traceRequests {
+		slog.Debug("request not admitted", "request", q.ID, "class", q.Class, "wait_ms", q.Wait)
+	}
+	handle.OnAnswer(q, Answer{Result: Refused})
+}
+
 // ClientLeft reports that the client of a request has disconnected.
 func (e *Engine) ClientLeft(handle *RequestHandle) {
 	if handle.request != nil {
--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -17,6 +17,7 @@
 	text        []byte // guarded by conn.mu, as are the fields below
 	orderKey    int
 	ready       bool
+	awaited     bool                 // keeps a closing connection open
 	request     *engine.Request      // nil = the answer was known at once
 	tenant      string               // charged for the memory of the answer
 	stream      engine.StreamedValue // long value that follows text; nil = text is the whole answer
@@ -29,10 +30,15 @@
 	bytes  int
 }
 
-// enqueue appends an entry for the answer to a command that was read.
-func (c *clientConn) enqueue(orderKey int) *pendingAnswer {
+// enqueue appends an entry for the answer to a command that was read; isRequest is false if the answer is
+// known at once.
+func (c *clientConn) enqueue(orderKey int, isRequest bool) *pendingAnswer {
 	pending := &pendingAnswer{conn: c, orderKey: orderKey}
 	c.mu.Lock()
+	if isRequest && c.closing.awaits() {
+		pending.awaited = true
+		c.closing.awaited++
+	}
 	c.queue = append(c.queue, pending)
 	c.mu.Unlock()
 	return pending
@@ -63,6 +69,9 @@
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	a.tenant = tenant
+	if conn.closing.active {
+		conn.lastAnswered = time.Now()
+	}
 	if a.orderKey > 0 {
 		defer conn.queueChanged.Broadcast()
 	}
@@ -155,9 +164,12 @@
 // takeReady removes the ready answers at the head of the queue, in the order of the commands. The caller
 // holds mu.
 func (c *clientConn) takeReady() (out net.Buffers, size int) {
-	c.answersInWrite = 0
+	c.answersInWrite, c.awaitedInWrite = 0, 0
 	for len(c.queue) > 0 && c.queue[0].ready {
 		pending := c.queue[0]
+		if pending.awaited {
+			c.awaitedInWrite++
+		}
 		out, size, c.reservations = append(out, pending.text), size+len(pending.text), append(c.reservations, answerReservation{pending.tenant, len(pending.text)})
 		c.queue, c.answersInWrite = c.queue[1:], c.answersInWrite+1
 		if pending.stream != nil { // the next answer follows the complete value
@@ -223,6 +235,7 @@
 		c.manager.engine.ReleaseAnswer(reservation.tenant, reservation.bytes)
 	}
 	c.reservations = c.reservations[:0]
+	c.closing.answered(c.awaitedInWrite)
 	c.queueChanged.Broadcast()
 	if err != nil && !c.broken {
 		c.broken = true
@@ -235,9 +248,11 @@
 	if out, size = c.takeReady(); c.openCommands() == 0 {
 		c.queue = nil // releases the answers that the backing array still holds
 		switch c.idleSince = time.Now(); {
-		case !c.closing:
+		case !c.closing.active:
 			c.SetReadDeadline(c.idleSince.Add(c.manager.protocol.Idle()))
-		case !c.reading:
+		case c.reading:
+			c.updateCommandDeadline()
+		default:
 			c.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -35,17 +35,18 @@
 	queueChanged    sync.Cond           // signals changes of the queue, answersInWrite and broken
 	queue           []*pendingAnswer    // answers that are not being written yet
 	answersInWrite  int                 // answers that are being written
+	awaitedInWrite  int                 // those of them that closing awaits
 	reservations    []answerReservation // memory reserved for answersInWrite
 	broken          bool                // nothing can be written any more
 	commandSeen     bool                // a command has been read
 	reading         bool                // a command has begun and is not complete
 	commandBytes    int                 // bytes read since it began, possibly including later commands
 	dropped         bool                // closing at once, without waiting for the command being read
-	closing         bool                // closes as soon as no command is open
-	closingSince    time.Time           // when closing was set
-	idleSince       time.Time           // while no command is open
-	commandDeadline time.Time           // for the rest of the command being read
-	flushScheduled  bool                // answers are written at the end of the engine's batch
+	closing         closingState
+	lastAnswered    time.Time // when the last answer became ready, while the connection closes
+	idleSince       time.Time // while no command is open
+	commandDeadline time.Time // for the rest of the command being read
+	flushScheduled  bool      // answers are written at the end of the engine's batch
 	// The last of the answers being written, if it ends with a long value. Used only by the writer.
 	streaming *pendingAnswer
 
@@ -93,7 +94,7 @@
 		reason = "rejected because of its input"
 	case c.dropped:
 		reason = "evicted while idle"
-	case c.closing:
+	case c.closing.active:
 		reason = "draining, or credentials revoked"
 	case c.reading:
 		reason = "timeout while reading a command"
@@ -116,7 +117,7 @@
 func (c *clientConn) delayThrottled() {
 	for until := time.Now().Add(throttleDelay); time.Now().Before(until); time.Sleep(throttlePollInterval) {
 		c.mu.Lock()
-		closing := c.closing || c.broken
+		closing := c.closing.active || c.broken
 		c.mu.Unlock()
 		if closing {
 			return
@@ -132,41 +133,7 @@
 	if since = c.idleSince; !c.commandSeen && time.Since(since) > silentGrace {
 		since = since.Add(-silentPenalty)
 	}
-	return since, c.openCommands() == 0 && !c.closing
-}
-
-// drain closes the connection once no command is open and none is being read.
-func (c *clientConn) drain() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return
-	}
-	c.closing, c.closingSince = true, time.Now()
-	switch firstByteDeadline := c.idleSince.Add(firstByteTimeout); {
-	case c.reading:
-	// Commands that arrive before the last answer are still accepted; writing that answer wakes the reader.
-	case c.openCommands() > 0:
-	// A new connection gets time for its first byte.
-	case !c.commandSeen && c.closingSince.Before(firstByteDeadline):
-		c.SetReadDeadline(firstByteDeadline)
-	default:
-		c.SetReadDeadline(time.Unix(1, 0))
-	}
-}
-
-// acceptsNoMore reports whether the connection has been closing for so long that it takes no more commands,
-// since their answers might come too late. The caller holds mu.
-func (c *clientConn) acceptsNoMore() bool {
-	return c.closing && time.Since(c.closingSince) >= c.manager.engine.MaxDeadline()
-}
-
-// commandArrivedAtTimeout reports whether a command arrived just as the wait for it timed out.
-func (c *clientConn) commandArrivedAtTimeout() bool {
-	c.mu.Lock()
-	expired := !c.dropped && c.acceptsNoMore()
-	c.mu.Unlock()
-	return !expired && sock.HasInput(c.Conn)
+	return since, c.openCommands() == 0 && !c.closing.active
 }
 
 // closeIfIdle closes the connection at once if no command is open; one that is only partly read does not
@@ -175,7 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.openCommands() == 0 {
-		c.closing, c.dropped = true, true
+		c.closing.active, c.dropped = true, true
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -186,9 +153,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.commandBytes = true, 0
-	if c.commandDeadline = c.idleSince.Add(firstCommandTimeout); !first || c.closing {
+	if c.commandDeadline = c.idleSince.Add(firstCommandTimeout); !first || c.closing.active {
 		c.commandDeadline = time.Now().Add(commandTimeout)
-		c.SetReadDeadline(c.commandDeadline)
+		c.setCommandDeadline()
 	}
 }
 
@@ -209,7 +176,7 @@
 	defer c.mu.Unlock()
 	if c.reading && !c.dropped {
 		c.commandDeadline = c.commandDeadline.Add(time.Duration(n) * valueTimePerByte)
-		c.SetReadDeadline(c.commandDeadline)
+		c.setCommandDeadline()
 	}
 	return n, err //nolint:wrapcheck // callers check the type of the error
 }
@@ -227,7 +194,7 @@
 	case c.broken:
 		return false
 	// Input that has already arrived is answered.
-	case c.closing && (c.openCommands() == 0 || c.acceptsNoMore()):
+	case c.closing.active && (c.openCommands() == 0 || c.acceptsNoMore()):
 		return c.reader.Buffered() > 0 || !c.acceptsNoMore() && sock.HasInput(c.Conn)
 	case c.openCommands() > 0:
 		c.SetReadDeadline(time.Time{})
@@ -272,7 +239,7 @@
 		if cmd.OrderKey > 0 {
 			c.waitForOrder(cmd.OrderKey)
 		}
-		answer := c.enqueue(cmd.OrderKey)
+		answer := c.enqueue(cmd.OrderKey, cmd.Request != nil)
 		if cmd.Request == nil {
 			answer.complete(cmd.Text, false)
 		} else {
@@ -338,6 +305,7 @@
 // the answers first, and its input is read and discarded for a bounded time.
 func (c *clientConn) finish(rejected bool) {
 	c.logClose(rejected)
+	readEnd := time.Now()
 	c.mu.Lock()
 	for c.openCommands() > 0 && !c.broken {
 		c.queueChanged.Wait()
@@ -346,6 +314,8 @@
 	c.mu.Unlock()
 	if broken {
 		c.abandonOpen()
+	} else if !rejected {
+		c.checkUnread(readEnd)
 	}
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && rejected && !broken && closer.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -90,13 +92,13 @@
 	engine        *engine.Engine
 	protocol      Protocol
 	listener      net.Listener
-	slots         chan struct{} // one element for each open connection or reserved slot
-	readers       sync.Pool     // of *bufio.Reader, as misbehaving clients reconnect by the hundreds
-	advertised    atomic.Bool   // clients may be sent to this router
-	draining      atomic.Bool   // connections are closed as soon as nothing is open on them
-	activeConns   atomic.Int64  // connections that have sent a command
-	reservedSlots atomic.Int64  // slots withheld by SetUsableShare
-	limiter       *connLimiter  // nil = slots are not divided between tenants
+	slots         chan struct{}             // one element for each open connection or reserved slot
+	readers       sync.Pool                 // of *bufio.Reader, as misbehaving clients reconnect by the hundreds
+	advertised    atomic.Bool               // clients may be sent to this router
+	draining      atomic.Pointer[time.Time] // see StartDraining; nil = not draining
+	activeConns   atomic.Int64              // connections that have sent a command
+	reservedSlots atomic.Int64              // slots withheld by SetUsableShare
+	limiter       *connLimiter              // nil = slots are not divided between tenants
 	wg            sync.WaitGroup
 
 	mu    sync.Mutex
@@ -257,8 +259,8 @@
 		m.readers.Put(r)
 		<-m.slots
 	})
-	if m.draining.Load() {
-		c.drain()
+	if closeBy := m.draining.Load(); closeBy != nil {
+		c.drain(*closeBy)
 	}
 }
 
@@ -269,17 +271,11 @@
 // DrainRevoked closes the connections whose credentials have been revoked, once their open commands are
 // answered.
 func (m *ConnManager) DrainRevoked() {
-	m.mu.Lock()
-	var revoked []*clientConn
-	for c := range m.conns {
+	for _, c := range m.openConns() {
 		if c.revoked() {
-			revoked = append(revoked, c)
+			c.drainRevoked()
 		}
 	}
-	m.mu.Unlock()
-	for _, c := range revoked {
-		c.drain()
-	}
 }
 
 // SetAdvertised sets whether Ready may report true. Without keepClients, clients are redirected to another
@@ -289,24 +285,40 @@
 	m.protocol.Drain(!keepClients)
 }
 
-// SetDraining starts or stops draining. While draining, each connection is closed once all its commands are
-// answered, and new ones after their first answer. Stopping does not affect connections that are already
-// closing.
-func (m *ConnManager) SetDraining(draining bool) {
-	if m.draining.Swap(draining) == draining || !draining {
+// StartDraining closes each connection once all its commands are answered, and new ones after their first
+// answer. Commands that are read after closeBy do not keep a connection open: the engine has to reject their
+// requests. Repeated calls only bring closeBy forward.
+func (m *ConnManager) StartDraining(closeBy time.Time) {
+	if current := m.draining.Load(); current != nil && !closeBy.Before(*current) {
+		return
+	}
+	m.draining.Store(&closeBy)
+	for _, c := range m.openConns() {
+		c.drain(closeBy)
+	}
+}
+
+// StopDraining stops draining. Connections that are already closing still close as soon as no command is
+// open, but no command is limited in time any more.
+func (m *ConnManager) StopDraining() {
+	if m.draining.Swap(nil) == nil {
 		return
 	}
+	for _, c := range m.openConns() {
+		c.liftLimits()
+	}
+}
+
+// openConns returns the open connections.
+func (m *ConnManager) openConns() []*clientConn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for c := range m.conns {
-		c.drain()
-	}
+	return slices.Collect(maps.Keys(m.conns))
 }
 
-// Drain starts draining and returns when all connections are closed. When ctx ends, it closes those that
-// remain.
+// Drain returns when all connections are closed, which StartDraining has begun. When ctx ends, it closes
+// those that remain.
 func (m *ConnManager) Drain(ctx context.Context) {
-	m.SetDraining(true)
 	closed := make(chan struct{})
 	go func() {
 		m.wg.Wait()
@@ -315,11 +327,9 @@
 	select {
 	case <-closed:
 	case <-ctx.Done():
-		m.mu.Lock()
-		for c := range m.conns {
+		for _, c := range m.openConns() {
 			c.forceClose()
 		}
-		m.mu.Unlock()
 		<-closed
 	}
 }
--- a/internal/pure/drain/drain.go
+++ b/internal/pure/drain/drain.go
@@ -25,6 +25,7 @@
 	outOfServiceSince float64
 	shuttingDown      bool
 	shutdownSince     float64
+	longestDeadline   float64 // of a request, as the shutdown begins; ms
 	hasSuccessor      bool
 }
 
@@ -42,10 +43,11 @@
 	return !m.shuttingDown
 }
 
-// BeginShutdown starts the shutdown of the process, which cannot be reverted.
-func (m *Machine) BeginShutdown(now float64) {
+// BeginShutdown starts the shutdown of the process, which cannot be reverted. longestDeadline is the longest
+// time, in ms, that a client waits for an answer.
+func (m *Machine) BeginShutdown(now, longestDeadline float64) {
 	if !m.shuttingDown {
-		m.shuttingDown, m.shutdownSince = true, now
+		m.shuttingDown, m.shutdownSince, m.longestDeadline = true, now, longestDeadline
 	}
 }
 
@@ -69,6 +71,19 @@
 	return Serving
 }
 
+// Bounds returns the bounds that hold at the given time. Those of a router that is taken out of service begin
+// with the phase Draining, those of a shutdown at once.
+func (m *Machine) Bounds(now float64) Bounds {
+	b := Unbounded()
+	if m.outOfService && m.Phase(now) >= Draining {
+		b = outOfServiceBounds(m.outOfServiceSince)
+	}
+	if m.shuttingDown {
+		b = b.earliest(shutdownBounds(m.shutdownSince, m.longestDeadline))
+	}
+	return b
+}
+
 // NextChange returns the time at which the phase changes without a call, or +Inf.
 func (m *Machine) NextChange(now float64) float64 {
 	next := math.Inf(1)
--- a/internal/pure/drain/drain_test.go
+++ b/internal/pure/drain/drain_test.go
@@ -16,7 +16,7 @@
 
 func takeOut(m *Machine, now float64)       { m.TakeOutOfService(now) }
 func putIn(m *Machine, _ float64)           { m.PutInService() }
-func shutDown(m *Machine, now float64)      { m.BeginShutdown(now) }
+func shutDown(m *Machine, now float64)      { m.BeginShutdown(now, 2500) }
 func successorStarts(m *Machine, _ float64) { m.SetSuccessor(true) }
 func successorGone(m *Machine, _ float64)   { m.SetSuccessor(false) }
 func noCall(*Machine, float64)              {}
@@ -94,7 +94,7 @@
 	if m.TakeOutOfService(0); !m.PutInService() {
 		t.Error("PutInService reports not serving without a shutdown")
 	}
-	if m.BeginShutdown(0); m.PutInService() {
+	if m.BeginShutdown(0, 2500); m.PutInService() {
 		t.Error("PutInService reports serving during shutdown")
 	}
 }
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -124,6 +124,7 @@
 type drainer struct {
 	pool   string
 	m      drain.Machine
+	bounds drain.Bounds // as the engines have them
 	rs     engines
 	fronts []*front.ConnManager
 	room   room
@@ -133,7 +134,7 @@
 }
 
 func newDrainer(pool string, grace time.Duration, rs engines, fronts []*front.ConnManager, room room) *drainer {
-	return &drainer{pool: pool, m: drain.Machine{Grace: float64(grace) / float64(time.Millisecond)}, rs: rs, fronts: fronts, room: room,
+	return &drainer{pool: pool, m: drain.Machine{Grace: float64(grace) / float64(time.Millisecond)}, bounds: drain.Unbounded(), rs: rs, fronts: fronts, room: room,
 		now: unixMS(), calls: make(chan func()), over: make(chan struct{})}
 }
 
@@ -153,7 +154,7 @@
 		select {
 		case <-end:
 			end = nil
-			d.m.BeginShutdown(d.now())
+			d.m.BeginShutdown(d.now(), float64(d.rs.longest())/float64(time.Millisecond))
 		case call := <-d.calls:
 			call()
 		case <-alarm.C:
@@ -164,10 +165,33 @@
 // apply has the fronts do what holds at a time.
 func (d *drainer) apply(now float64) {
 	phase, invites := d.m.Phase(now), d.m.ShouldAdvertise(now)
+	d.limitRequests(now)
 	for _, f := range d.fronts {
 		f.SetAdvertised(invites, phase == drain.Serving)
-		f.SetDraining(phase >= drain.Draining)
+		if phase >= drain.Draining {
+			f.StartDraining(d.closeBy(now))
+		} else {
+			f.StopDraining()
+		}
+	}
+}
+
+// limitRequests has the engines apply the bounds that hold at a time.
+func (d *drainer) limitRequests(now float64) {
+	bounds := d.m.Bounds(now)
+	if bounds == d.bounds {
+		return
 	}
+	d.bounds = bounds
+	for _, r := range d.rs {
+		r.SetAdmission(bounds.Shift(r.Now() - d.now()))
+	}
+}
+
+// closeBy returns until when commands keep a connection open, for a pool that drains or ends.
+func (d *drainer) closeBy(now float64) time.Time {
+	left := d.m.Bounds(now).CloseBy - d.now()
+	return time.Now().Add(time.Duration(left * float64(time.Millisecond)))
 }
 
 // ask has something done by the drainer's goroutine, and returns when it is in force.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -144,17 +144,8 @@
 		slog.Info("listening for meta commands", "router", cfg.Name, "addr", cfg.Meta.Addr().String())
 	}
 
-	var told time.Time // to end
-	ended := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		defer close(ended)
-		told = time.Now()
-		by := told.Add(rs.longest() + answersAfter)
-		rs.each(func(r *router) { r.SetShutdownDeadline(by) })
-	})
 	cfg.Control.add(d)
 	d.run(ctx)
-	<-ended
 	<-started // ctx has ended: it does not wait any more
 	ln.Close()
 	for _, other := range []net.Listener{cfg.Meta, cfg.TLS} {
@@ -162,7 +153,7 @@
 			other.Close()
 		}
 	}
-	end, cancel := context.WithDeadline(context.Background(), told.Add(rs.longest()+endAfter))
+	end, cancel := context.WithDeadline(context.Background(), d.closeBy(d.now()))
 	defer cancel()
 	var drained sync.WaitGroup
 	for _, f := range fronts {
@@ -172,12 +163,6 @@
 	return nil
 }
 
-// SIGKILL comes as early as 700 ms after SIGTERM and the longest deadline.
-const (
-	answersAfter = 500 * time.Millisecond // by then the last answer is given,
-	endAfter     = 600 * time.Millisecond // and by then all connections are closed
-)
-
 // longest is the longest that a client waits.
 func (rs engines) longest() (d time.Duration) {
 	for _, r := range rs {
