--- a/internal/fleettest/soak/check.go
+++ b/internal/fleettest/soak/check.go
@@ -24,6 +24,7 @@
 	SlowStart  Invariant = "slow-start" // no server that has just started gets more than it is allowed, by all routers together
 	Process    Invariant = "process"    // no crash, no start that fails, an end in time
 	SelfCheck  Invariant = "self-check" // the router's own guard has found nothing
+	Empty      Invariant = "empty"      // a router out of service holds no connection that is idle or has a recent request
 )
 
 // Bounds of the invariants.
--- a/internal/fleettest/soak/client.go
+++ b/internal/fleettest/soak/client.go
@@ -25,7 +25,8 @@
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	process *process // where new connections go
+	process *process     // where new connections go,
+	divert  *clientGroup // unless they go where those of another group do; nil = they don't
 	idle    []*clientConn
 	all     map[*clientConn]struct{}
 	crowd   bool // idle connections fill the descriptors of the router: new ones may be shut unread
@@ -61,6 +62,13 @@
 	g.process = p
 }
 
+// current is the process that new connections of the group go to while they are not diverted.
+func (g *clientGroup) current() *process {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.process
+}
+
 func (g *clientGroup) setCrowd(yes bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -97,8 +105,11 @@
 		g.mu.Unlock()
 		return c, nil
 	}
-	p, crowd, most := g.process, g.crowd, len(g.all) >= connMost
+	p, divert, crowd, most := g.process, g.divert, g.crowd, len(g.all) >= connMost
 	g.mu.Unlock()
+	if divert != nil {
+		p = divert.current()
+	}
 	if p == nil || most {
 		return nil, errors.New("no router, or too many connections")
 	}
--- a/internal/fleettest/soak/ledger.go
+++ b/internal/fleettest/soak/ledger.go
@@ -84,8 +84,10 @@
 	drains   map[string]time.Time // server -> since when routers know that it drains
 	starts   []started
 	drained  int // drains so far
-	draining []Violation
-	lateness Lateness
+	// emptyChecks is how often it was checked that a router out of service was empty.
+	emptyChecks int
+	draining    []Violation
+	lateness    Lateness
 }
 
 // NewLedger is an empty ledger.
--- a/internal/fleettest/soak/play.go
+++ b/internal/fleettest/soak/play.go
@@ -66,6 +66,7 @@
 	w.run(ctx)
 	r := w.ledger.Check(w.plan.settings)
 	r.Violations = append(r.Violations, w.problems...)
+	r.Checked[Empty] = w.ledger.emptyChecks
 	r.Traces = w.traces(r.Violations)
 	for _, p := range w.processes {
 		r.Checked[Process]++
@@ -326,10 +327,7 @@
 
 // process is the process that new clients of a router go to.
 func (w *world) process(i int) *process {
-	g := w.groups[i]
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.process
+	return w.groups[i].current()
 }
 
 // troubleRouter causes a fault at a router.
@@ -349,32 +347,44 @@
 		w.crowd(ctx, f, p)
 	case HalfRequests:
 		w.halfRequests(ctx, p)
+	case OutOfService:
+		w.takeOutOfService(ctx, f, p)
 	default:
 		w.replace(ctx, f, p)
 	}
 }
 
+// reserve has a router replaced or taken out of service by one fault at a time; ok is false where another one
+// has it.
+func (w *world) reserve(router int) (release func(), ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.replacing[router] {
+		return nil, false
+	}
+	w.replacing[router] = true
+	return func() { w.update(func() { w.replacing[router] = false }) }, true
+}
+
 // replace ends a process in one of the ways there are, and starts another in its place.
 func (w *world) replace(ctx context.Context, f Fault, p *process) {
-	w.mu.Lock()
-	busy := w.replacing[f.Target]
-	w.replacing[f.Target] = true
-	w.mu.Unlock()
-	if busy {
+	release, ok := w.reserve(f.Target)
+	if !ok {
 		return
 	}
-	defer func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.replacing[f.Target] = false
-	}()
-	g := w.groups[f.Target]
+	defer release()
 	if f.Kind == Crash {
+		g := w.groups[f.Target]
 		g.use(nil)
 		p.crashNow()
 		w.succeed(f.Target, g)
 		return
 	}
+	w.terminate(ctx, f, p)
+}
+
+// terminate tells a process to end, has another take its place, and kills it at the earliest time.
+func (w *world) terminate(ctx context.Context, f Fault, p *process) {
 	p.term()
 	if f.Kind == SignalSeries {
 		waited(ctx, 20*time.Millisecond)
@@ -385,7 +395,7 @@
 	since, _ := p.terminating()
 	w.wg.Go(func() {
 		time.Sleep(newConnectionsFor / 2)
-		w.succeed(f.Target, g)
+		w.succeed(f.Target, w.groups[f.Target])
 	})
 	select {
 	case <-p.ended:
--- a/internal/fleettest/soak/process.go
+++ b/internal/fleettest/soak/process.go
@@ -66,10 +66,11 @@
 
 // process is one run of the router program.
 type process struct {
-	name string
-	cmd  *exec.Cmd
-	addr string
-	pid  int
+	name     string
+	cmd      *exec.Cmd
+	addr     string
+	pid      int
+	operator string // address of the operators' calls
 
 	mu        sync.Mutex
 	lines     []string
@@ -89,7 +90,7 @@
 
 // startProcess starts the program and waits until it listens.
 func startProcess(program, dir, name, discovery string, s settings, me int) (*process, error) {
-	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", 0x8c1f30d27a5be964+uint64(me)),
+	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", 0x8c1f30d27a5be964+uint64(me)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 512}, "known": map[string]any{"version": 0, "full": true, "servers": []any{}}, "settings": s.object(me)})
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
@@ -99,7 +100,11 @@
 		return nil, fmt.Errorf("soak: %w", err)
 	}
 	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), "GW_CONFIG="+path)
+	private, err := os.MkdirTemp(dir, name) // no process takes over from another's socket here
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+private)
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
@@ -124,7 +129,10 @@
 	}
 }
 
-var listeningLine = regexp.MustCompile(`listening router=.*addr=(127\.\S+)`)
+var (
+	listeningLine = regexp.MustCompile(`listening router=.*addr=(127\.\S+)`)
+	operatorLine  = regexp.MustCompile(`operators' calls addr=(127\.\S+)`)
+)
 
 // follow reads the log to its end.
 func (p *process) follow(log io.Reader) {
@@ -132,6 +140,9 @@
 	for lines.Scan() {
 		line := lines.Text()
 		p.mu.Lock()
+		if m := operatorLine.FindStringSubmatch(line); m != nil {
+			p.operator = m[1]
+		}
 		if m := listeningLine.FindStringSubmatch(line); m != nil && p.addr == "" {
 			p.addr = m[1]
 			close(p.listening)
--- a/internal/service/platform.go
+++ b/internal/service/platform.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return fmt.Errorf("operator: %w", err)
 	}
+	slog.Info("operators' calls", "addr", calls.Addr().String())
 	setup.Control = router.NewControl(1)
 	cfg.Limits.Sockets -= config.OperatorReserve
 	defer operate(calls, setup.Control, nil)()
