--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -35,9 +35,9 @@
 	// InFlight returns how many accepted requests of a tenant are unanswered at this router. The generation
 	// distinguishes tenants that reuse a name.
 	InFlight func(name string, generation uint32) int
-	// Classes and Pools are the names in the configuration.
-	Classes, Pools []string
-	Log            *slog.Logger
+	// Names returns the names in the configuration in force.
+	Names func() keybook.Names
+	Log   *slog.Logger
 }
 
 // Limits and timeouts of the API; sizes in bytes.
@@ -139,15 +139,20 @@
 	Name       string `json:"name"`
 	Generation uint32 `json:"generation" doc:"Tells it from earlier tenants of its name."`
 	Spec
-	Version uint64 `json:"version" doc:"Of its last change; the ETag."`
+	Version     uint64   `json:"version" doc:"Of its last change; the ETag."`
+	Quarantined []string `json:"quarantined,omitempty" doc:"Parts of it that name what this router's configuration does not have; they are set aside."`
 }
 
-func toTenant(t keybook.Tenant) Tenant {
+func (a *API) toTenant(t keybook.Tenant) Tenant {
 	l := Limits{Floor: t.Floor, Weight: t.Weight, Burst: t.Burst, Most: t.Most, Open: t.Open, Bytes: t.Bytes, Conns: t.Conns}
 	for _, c := range t.ByClass {
 		l.Classes = append(l.Classes, ClassLimits{c.Class, c.Most, c.Open})
 	}
-	return Tenant{t.Name, t.Generation, Spec{t.Suspended, t.Pools, l}, t.Version}
+	var quarantined []string
+	for _, item := range a.opts.Names().Unknown(t.Name, &t.Terms) {
+		quarantined = append(quarantined, item.Field+": "+item.Why)
+	}
+	return Tenant{t.Name, t.Generation, Spec{t.Suspended, t.Pools, l}, t.Version, quarantined}
 }
 
 type tenantAnswer struct {
@@ -155,8 +160,8 @@
 	Body Tenant
 }
 
-func tenantResponse(t keybook.Tenant) *tenantAnswer {
-	return &tenantAnswer{etag(t.Version), toTenant(t)}
+func (a *API) tenantResponse(t keybook.Tenant) *tenantAnswer {
+	return &tenantAnswer{etag(t.Version), a.toTenant(t)}
 }
 
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
@@ -246,7 +251,7 @@
 			out.Body.Next = tenants[i-1].Name
 			break
 		}
-		out.Body.Tenants = append(out.Body.Tenants, toTenant(t))
+		out.Body.Tenants = append(out.Body.Tenants, a.toTenant(t))
 	}
 	return out, nil
 }
@@ -259,7 +264,7 @@
 	if err != nil {
 		return nil, toProblem(err)
 	}
-	return tenantResponse(t), nil
+	return a.tenantResponse(t), nil
 }
 
 func (a *API) put(ctx context.Context, in *struct {
@@ -271,8 +276,8 @@
 		return nil, err
 	}
 	terms := in.Body.toTerms()
-	if err := terms.CheckNames(a.opts.Classes, a.opts.Pools); err != nil {
-		return nil, toProblem(err)
+	if unknown := a.opts.Names().Unknown(in.Name, &terms); len(unknown) > 0 {
+		return nil, toProblem(&keybook.NameError{Item: unknown[0]})
 	}
 	t, version, err := a.keeper(ctx).PutTenant(keybook.Tenant{Name: in.Name, Suspended: in.Body.Suspended, Terms: terms}, expected)
 	if err != nil {
@@ -281,7 +286,7 @@
 	if err := a.publish(ctx, version); err != nil {
 		return nil, err
 	}
-	return tenantResponse(t), nil
+	return a.tenantResponse(t), nil
 }
 
 func (a *API) remove(ctx context.Context, in *Conditioned) (*deleted, error) {
@@ -446,7 +451,7 @@
 		return huma.NewError(http.StatusPreconditionFailed, "another change came first: "+stale.Error(), &huma.ErrorDetail{Location: "header.If-Match", Message: "current ETag", Value: etag(stale.Current)})
 	case errors.Is(err, store.ErrFull), errors.Is(err, store.ErrReadOnly), errors.Is(err, store.ErrClosed):
 		return huma.NewError(http.StatusInsufficientStorage, "nothing was changed: "+err.Error())
-	case errors.Is(err, keybook.ErrConflict):
+	case errors.Is(err, keybook.ErrConflict), errors.Is(err, keybook.ErrTooManyTenants):
 		return huma.Error409Conflict(err.Error())
 	}
 	if field, message, ok := strings.Cut(err.Error(), ": "); ok && !strings.Contains(field, " ") {
--- a/internal/check/callers.go
+++ b/internal/check/callers.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -34,6 +35,7 @@
 	if rightsFile != "" {
 		c.Rights = rightsFile
 	}
+	var quarantined []error // a router would run without these items
 	err := func() error {
 		text, err := readLimited(c.Book, keybook.MaxFileBytes)
 		if err != nil {
@@ -57,8 +59,11 @@
 		if err != nil {
 			return err
 		}
+		for _, item := range (keybook.Names{Classes: f.Classes(), Pools: f.PoolNames()}).Quarantine(b) {
+			quarantined = append(quarantined, fmt.Errorf("%s: quarantined: %s", c.Book, item))
+		}
 		_, faults := caller.NewCredentialStore(contents)
-		return keybook.LocateFaults(c.Book, text, faults)
+		return errors.Join(append(quarantined, keybook.LocateFaults(c.Book, text, faults))...)
 	}()
 	if err != nil {
 		fmt.Fprintln(out, err)
--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -53,8 +53,10 @@
 	pending [fileCount][]byte // contents rejected so far, retried when another file changes; nil = none
 	terms   map[string]Terms
 	tenants []caller.Tenant
-	version uint64 // of the credentials file in use
-	epoch   uint64 // incremented whenever new contents are applied
+	// quarantined are the parts of the credentials in use that refer to unknown names.
+	quarantined []Quarantined
+	version     uint64 // of the credentials file in use
+	epoch       uint64 // incremented whenever new contents are applied
 }
 
 // Open reads the files and installs the gate's initial credentials. The error lists each fault with file and
@@ -86,12 +88,13 @@
 	return s.version, s.epoch
 }
 
-// SetClasses sets the class names that are valid in the files, after a configuration change. It takes effect
-// when a file changes next.
+// SetClasses sets the class names that are valid in the files, after a configuration change. Tenants' terms are
+// checked against them at once, the rights file when it changes next.
 func (s *Source) SetClasses(names []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cfg.Classes = names
+	s.setQuarantined(s.cfg.names().Quarantine(&Credentials{Tenants: s.tenants, Terms: s.terms}))
 }
 
 // Tenants returns the tenants in use with their terms, and the epoch as Version does. Callers must not modify
@@ -228,6 +231,7 @@
 		return fmt.Errorf("%s: %w", s.cfg.CredentialsPath, err)
 	}
 	s.inUse, s.version, s.epoch, s.terms, s.tenants = next, b.Version, c.Version, b.Terms, b.Tenants
+	s.setQuarantined(s.cfg.names().Quarantine(b))
 	s.log.Info("callers: credentials applied", "name", s.cfg.Name, "version", b.Version, "epoch", s.epoch, "keys", len(b.Keys), "callers", len(b.Callers), "tenants", len(b.Tenants))
 	return nil
 }
@@ -248,18 +252,12 @@
 }
 
 // Contents combines the parsed credentials, the rights file and the certificate bundle. It checks that the
-// classes and pools they name exist.
+// classes that the rights file names exist; tenants' terms are not checked, see Names.Quarantine.
 func (cfg SourceConfig) Contents(b *Credentials, rightsText, bundle []byte) (caller.Contents, error) {
 	roles, faults := rights.Parse(cfg.RightsPath, string(rightsText), cfg.Classes)
 	if faults != nil {
 		return caller.Contents{}, faults
 	}
-	for _, t := range b.Tenants {
-		terms := b.Terms[t.Name]
-		if err := terms.CheckNames(cfg.Classes, cfg.Pools); err != nil {
-			return caller.Contents{}, fmt.Errorf("%s: tenant %s: %w", cfg.CredentialsPath, t.Name, err)
-		}
-	}
 	c := caller.Contents{Policy: cfg.Policy, Keys: b.Keys, Tenants: b.Tenants, Principals: b.Callers, Roles: roles}
 	if !b.Issued.IsZero() {
 		c.Issued = float64(b.Issued.UnixMicro()) / 1000
--- a/internal/keybook/tenants.go
+++ b/internal/keybook/tenants.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"mossproxy.example/mossproxy/internal/pure/caller"
 	"mossproxy.example/mossproxy/internal/pure/tenant"
 	"mossproxy.example/mossproxy/internal/store"
 )
@@ -117,6 +118,9 @@
 			if err != nil {
 				return c, err
 			}
+			if err := st.checkTenantCount(); err != nil {
+				return c, err
+			}
 			next.Generation = gen + 1
 			c.action, c.puts[generationPrefix+t.Name] = "tenant create", next.Generation
 		} else {
@@ -132,6 +136,27 @@
 	return current, version, err
 }
 
+// ErrTooManyTenants is returned for a new tenant that routers would not accept.
+var ErrTooManyTenants = fmt.Errorf("%d tenants are the most: delete one first", caller.MaxTenants)
+
+// checkTenantCount returns an error if no further tenant may be created. A concurrent creation makes the
+// change conflict, so that the count is still right when the change is applied.
+func (st *Store) checkTenantCount() error {
+	sn, err := st.store.Snapshot()
+	if err != nil {
+		return err
+	}
+	defer sn.Release()
+	n := 0
+	for range sn.Keys(tenantPrefix, "") {
+		n++
+	}
+	if n >= caller.MaxTenants {
+		return ErrTooManyTenants
+	}
+	return nil
+}
+
 // RemoveTenant deletes the tenant of the expected version with its callers and their secrets. It returns a
 // StaleError if the version differs.
 func (st *Store) RemoveTenant(name string, expected uint64) (uint64, error) {
--- a/internal/keybook/terms.go
+++ b/internal/keybook/terms.go
@@ -47,21 +47,6 @@
 	return l.Check()
 }
 
-// CheckNames returns an error that names the first class or pool not in the given lists, if any.
-func (t *Terms) CheckNames(classes, pools []string) error {
-	for i, c := range t.ByClass {
-		if !slices.Contains(classes, c.Class) {
-			return fmt.Errorf("classes[%d]: %.40q is no class", i, c.Class)
-		}
-	}
-	for i, p := range t.Pools {
-		if !slices.Contains(pools, p) {
-			return fmt.Errorf("pools[%d]: %.40q is no pool", i, p)
-		}
-	}
-	return nil
-}
-
 // LimitsByClass returns the limits with those on classes at the classes' indexes. Unknown classes are
 // ignored.
 func (t *Terms) LimitsByClass(classes []string) tenant.Limits {
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -44,7 +44,7 @@
 		InFlight: func(name string, generation uint32) int {
 			return s.known.usage.InHand(router.Lifetime{Name: name, Generation: generation})
 		},
-		Classes: s.file.Classes(), Pools: s.file.PoolNames(), Log: slog.Default()})
+		Names: s.known.source.Names, Log: slog.Default()})
 	version, err := a.keeper.Version()
 	if has, _ := s.known.source.Version(); err == nil && version > has {
 		err = a.export(version)
--- /dev/null
+++ b/internal/service/quarantine_test.go
@@ -0,0 +1,122 @@
+package service
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"mossproxy.example/mossproxy/internal/config"
+	"mossproxy.example/mossproxy/internal/keybook"
+	"mossproxy.example/mossproxy/internal/pure/caller"
+	"mossproxy.example/mossproxy/internal/standin/standintest"
+)
+
+// revokedWithin is the time in which what takes rights away has to count.
+const revokedWithin = 5 * time.Second
+
+// logClass is the class of gatedConfig that no rights name.
+const logClass = `[[class]]
+name = "log"
+effect = "by_key"
+scope = "all"
+window_ms = 2000
+aim_ms = 500
+deadline_ms = 5000
+`
+
+// dropLogClass replaces the configuration of an office by one without the class, and waits until it is in
+// force.
+func (o *office) dropLogClass() (path string) {
+	o.t.Helper()
+	path = filepath.Join(o.dir, "c-r0.toml")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	without := strings.Replace(string(text), logClass, "", 1)
+	if without == string(text) {
+		o.t.Fatal("the configuration has no such class")
+	}
+	o.write("c-r0.toml", without)
+	standintest.Until(o.t, "the configuration to be in force", func() bool { return !slices.Contains(o.s.known.source.Names().Classes, "log") })
+	return path
+}
+
+// suspend suspends a tenant and fails the test unless its caller is refused in time.
+func (o *office) suspend(name string) {
+	o.t.Helper()
+	_, tag, _ := o.call("GET", "/v1/tenants/"+name, "all", "", nil)
+	if status, _, body := o.call("PUT", "/v1/tenants/"+name, "all", tag, spec{"suspended": true}); status != 200 {
+		o.t.Fatal(status, body)
+	}
+	changed := time.Now()
+	c := dialGuest(o.t, o.s.Addrs()[0])
+	for {
+		got := c.ask("auth key " + name + "-key " + name + "-secret")
+		if strings.HasPrefix(got, "CLIENT_ERROR") {
+			return
+		}
+		if time.Since(changed) > revokedWithin {
+			o.t.Fatalf("tenant %s still logs in %v after it was suspended: %q", name, time.Since(changed), got)
+		}
+	}
+}
+
+// Guards against a limit on a class that a new configuration has dropped: stored before, it froze all later
+// changes of every tenant, and the next start; a PUT that names such a class was stored.
+func TestDroppedClassFreezesNoTenant(t *testing.T) {
+	o := startOffice(t)
+	limits := spec{"limits": spec{"classes": []spec{{"class": "log", "open": 3}}}}
+	_, tag, _ := o.call("GET", "/v1/tenants/b", "all", "", nil)
+	if status, _, body := o.call("PUT", "/v1/tenants/b", "all", tag, limits); status != 200 {
+		t.Fatal(status, body)
+	}
+	path := o.dropLogClass()
+	_, tag, before := o.call("GET", "/v1/tenants/c", "all", "", nil)
+	if status, _, body := o.call("PUT", "/v1/tenants/c", "all", tag, limits); status != 422 {
+		t.Errorf("a limit on a class that is gone: %d %v", status, body)
+	}
+	if _, _, after := o.call("GET", "/v1/tenants/c", "all", "", nil); after["version"] != before["version"] {
+		t.Errorf("it was stored: %v", after)
+	}
+	if _, _, body := o.call("GET", "/v1/tenants/b", "all", "", nil); fmt.Sprint(body["quarantined"]) != `[classes[0]: "log" is no class]` {
+		t.Errorf("quarantined: %v", body["quarantined"])
+	}
+	o.suspend("a")
+	f, err := config.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := openKnown(f)
+	if err != nil {
+		t.Fatalf("the next start: %v", err)
+	}
+	if got := again.source.Quarantined(); len(got) != 1 || got[0].Tenant != "b" {
+		t.Errorf("quarantined at the next start: %v", got)
+	}
+}
+
+// Guards against a tenant that is stored although routers accept no more of them, and that freezes all later
+// changes.
+func TestTenantBeyondTheLimitLeavesNoTrace(t *testing.T) {
+	g := startGated(t, 0)
+	g.change(func(b *keybook.Credentials) {
+		b.Version = 0 // the store begins with version 1 too
+		for i := len(b.Tenants); i < caller.MaxTenants; i++ {
+			b.Tenants = append(b.Tenants, caller.Tenant{Name: fmt.Sprintf("t%05d", i), Generation: 1})
+		}
+	})
+	o := officeOf(t, g, func(g *gated) *Service { return g.start("r0") })
+	status, _, body := o.call("PUT", "/v1/tenants/new", "all", "*", spec{})
+	if status < 400 || status > 499 {
+		t.Errorf("one tenant more: %d %v", status, body)
+	}
+	if status, _, _ := o.call("GET", "/v1/tenants/new", "all", "", nil); status != 404 {
+		t.Errorf("it is there: %d", status)
+	}
+	o.suspend("a")
+}
