--- a/internal/fleettest/mutants/main.go
+++ b/internal/fleettest/mutants/main.go
@@ -23,7 +23,7 @@
 }
 
 var stages = []stage{
-	{"unit tests", []string{"test", "-count=1", "./decide", "./internal/sock", "./internal/proto/...", "./internal/backend/...", "./internal/engine", "./internal/member"}},
+	{"unit tests", []string{"test", "-count=1", "./decide", "./internal/sock", "./internal/proto/...", "./internal/backend/...", "./internal/engine", "./internal/member", "./internal/pure/drain"}},
 	{"tests of fronts and router", []string{"test", "-count=1", "./internal/front/...", "./internal/router"}},
 	{"scripted processes", []string{"test", "-count=1", "./internal/fleettest/soak", "-skip", "Soak"}},
 	{"soak", []string{"test", "-count=1", "./internal/fleettest/soak", "-run", "Soak", "-soak.seeds", "5"}},
--- a/internal/fleettest/mutants/mutants.go
+++ b/internal/fleettest/mutants/mutants.go
@@ -38,6 +38,7 @@
 	commandFile = "internal/backend/command.go"
 	reuseFile   = "internal/backend/reuse.go"
 	metaFile    = "internal/proto/meta/meta.go"
+	boundsFile  = "internal/pure/drain/bounds.go"
 )
 
 // noAbort leaves the connection of a canceled attempt open.
@@ -60,7 +61,12 @@
 	{"id not checked for VA", []Edit{{metaFile, "if id, err = answerID(flags[1:]); err == nil && id == c.ID {", "if _, err = answerID(flags[1:]); err == nil {\n			id = c.ID"}}},
 	{"id not checked for HD", []Edit{{metaFile, "	case kind == \"HD\" && c.Verb == \"ms\":\n", "	case kind == \"HD\" && c.Verb == \"ms\":\n		id = c.ID\n"}}},
 	{"slow start off", []Edit{{"decide/decide.go", "func (b *Balancer) budgetAllows(s *server, work, rank float64) bool {\n", "func (b *Balancer) budgetAllows(s *server, work, rank float64) bool {\n	if s != nil {\n		return true\n	}\n"}}},
-	{"answers after SIGTERM without a limit", []Edit{{"internal/engine/engine.go", "	remaining = max(0, min(remaining, e.shutdownAt-now))\n", ""}}},
+	{"answers after SIGTERM without a limit", []Edit{{boundsFile, "	return min(deadline, b.AnswerBy), ok\n", "	return deadline, ok\n"}}},
+	{"requests admitted long after out-of-service", []Edit{{boundsFile, "ok = now <= b.AdmitUntil && deadline", "ok = deadline"}}},
+	{"requests admitted that end after the router has to be empty", []Edit{{boundsFile, " && deadline <= b.LatestDeadline", ""}}},
+	{"closing connection not read", []Edit{{"internal/front/closing.go", "	return limited && !time.Now().Before(until)\n", "	return limited || !until.IsZero()\n"}}},
+	{"bounds of a drain outlast it", []Edit{{"internal/router/control.go", "	if bounds == d.bounds {\n", "	if bounds == d.bounds || bounds == drain.Unbounded() {\n"}}},
+	{"rejected request keeps its memory", []Edit{{"internal/engine/engine.go", "	e.ids.release(q.ID)\n	e.HeldBytes.Release(q.HeldBytes)\n	e.countAnswer", "	e.ids.release(q.ID)\n	e.countAnswer"}}},
 	{"drain gate off", []Edit{{"internal/engine/checks.go", "since > 0 && now-since > drainGrace-maxProcessPause-timeLimitSlack", "since < 0 && now-since > drainGrace-maxProcessPause-timeLimitSlack"}}},
 	{"ENOBUFS taken for the end", []Edit{{"internal/sock/sock.go", "return errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)", "return false && errors.Is(err, syscall.ENOMEM)"}}},
 	{"stale copy of discovery's list applied", []Edit{{"internal/member/discovery.go", "		if l.Version < d.knownVersion {\n", "		if l.Version < -1 {\n"}}},
--- a/internal/fleettest/soak/outofservice.go
+++ b/internal/fleettest/soak/outofservice.go
@@ -20,8 +20,12 @@
 // shortDrain is the longest Fault.For of a drain that ends before the router has to be empty.
 const shortDrain = 800 * time.Millisecond
 
-// busySenders is how many connections are kept busy while a router is out of service.
-const busySenders = 3
+// busyIntervals are how often requests are sent on the connections that are kept busy while a router is out of
+// service.
+var busyIntervals = []time.Duration{60 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond}
+
+// busyBefore is how long these connections are busy before the operators' call.
+const busyBefore = time.Second
 
 // takeOutOfService has operators take a router out of service while some of its connections are never idle,
 // checks that it is empty in time, and puts it back into service or ends it.
@@ -37,9 +41,10 @@
 	g := w.groups[f.Target]
 	senders, stop := context.WithCancel(ctx)
 	defer stop()
-	for i := range busySenders {
-		w.wg.Go(func() { g.keepBusy(senders, p, time.Duration(20+60*i)*time.Millisecond) })
+	for _, interval := range busyIntervals {
+		w.wg.Go(func() { g.keepBusy(senders, p, interval) })
 	}
+	waited(ctx, busyBefore)
 	if f.Mode != Normal {
 		w.origin.set(f.Mode)
 		defer w.origin.set(Normal)
@@ -107,20 +112,31 @@
 	return yes
 }
 
-// keepBusy sends requests on one connection to a process, whether or not earlier ones are answered, until the
-// router closes it.
+// keepBusy sends requests that the origin has to run on one connection to a process, whether or not earlier
+// ones are answered, until the router closes it.
 func (g *clientGroup) keepBusy(ctx context.Context, p *process, interval time.Duration) {
 	c, err := g.conn(true)
 	if err != nil || c.process != p {
 		return
 	}
 	for !c.isClosed() && waited(ctx, interval) {
-		r := g.request()
+		r := g.write()
 		g.ledger.addRequest(r)
 		c.write(r)
 	}
 }
 
+// write draws a request of a class that runs at the origin and may run once.
+func (g *clientGroup) write() *Request {
+	r := g.request()
+	for _, class := range g.classes {
+		if class.Effect == Once && !class.Read {
+			r.Class, r.Wait = class, class.Deadline
+		}
+	}
+	return r
+}
+
 // divertTo has new connections go to the process of another group; nil = to this group's own.
 func (g *clientGroup) divertTo(other *clientGroup) {
 	g.mu.Lock()
