--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -27,15 +27,23 @@
 
 	mu       sync.Mutex
 	exported uint64 // the version in the file
+
+	exportFailed chan struct{} // signals retryExports; buffered, capacity 1
 }
 
+// Pauses between the attempts at an export that fails.
+const (
+	minExportPause = 50 * time.Millisecond
+	maxExportPause = time.Second
+)
+
 // openAdmin opens the store and listens. The book file is written anew where a crash left it behind the store.
 func (s *Service) openAdmin(cfg *config.Admin) (*administration, error) {
 	st, err := store.Open(s.disk(cfg.State), store.Options{Owner: "cottonyoke serve"})
 	if err != nil {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
-	a := &administration{s: s, store: st, keeper: keybook.NewStore(st, "serve", nil), path: s.file.Callers.Book}
+	a := &administration{s: s, store: st, keeper: keybook.NewStore(st, "serve", nil), path: s.file.Callers.Book, exportFailed: make(chan struct{}, 1)}
 	if a.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
 		st.Close()
 		return nil, fmt.Errorf("admin: %w", err)
@@ -69,13 +77,16 @@
 // run serves the API until ctx ends.
 func (a *administration) run(ctx context.Context) {
 	defer a.store.Close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { a.retryExports(ctx) })
 	slog.Info("administration: listening", "addr", a.ln.Addr().String())
 	if err := a.api.Serve(ctx, a.ln); err != nil {
 		slog.Error("administration: ended", "why", err)
 	}
 }
 
-// export writes the book file if it is older than a version.
+// export writes the book file if it is older than a version. If that fails, retryExports goes on with it.
 func (a *administration) export(version uint64) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -85,10 +96,54 @@
 	v, err := a.keeper.Export(a.path)
 	if err == nil {
 		a.exported = v
+		return nil
 	}
+	a.signalExportFailed()
 	return err
 }
 
+// retryExports repeats an export that has failed until the file has what is stored, without any further change,
+// until ctx ends.
+func (a *administration) retryExports(ctx context.Context) {
+	pause := minExportPause
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.exportFailed:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if err := a.exportCurrent(); err != nil {
+			slog.Warn("administration: export failed, retrying", "why", err)
+			pause = min(2*pause, maxExportPause)
+			continue
+		}
+		pause = minExportPause
+	}
+}
+
+// exportCurrent writes the book file if it is older than what is stored.
+func (a *administration) exportCurrent() error {
+	version, err := a.keeper.Version()
+	if err != nil {
+		a.signalExportFailed()
+		return err
+	}
+	return a.export(version)
+}
+
+// signalExportFailed has retryExports make the export again. It does not block.
+func (a *administration) signalExportFailed() {
+	select {
+	case a.exportFailed <- struct{}{}:
+	default: // it is signaled already
+	}
+}
+
 // forceEvery is how often it is looked at whether a version is in force.
 const forceEvery = 5 * time.Millisecond
 
--- a/internal/service/quarantine_test.go
+++ b/internal/service/quarantine_test.go
@@ -53,16 +53,22 @@
 	if status, _, body := o.call("PUT", "/v1/tenants/"+name, "all", tag, spec{"suspended": true}); status != 200 {
 		o.t.Fatal(status, body)
 	}
-	changed := time.Now()
+	o.refusedWithin(revokedWithin, name, time.Now())
+}
+
+// refusedWithin fails the test unless a tenant's caller is refused in the given time.
+func (o *office) refusedWithin(limit time.Duration, name string, since time.Time) {
+	o.t.Helper()
 	c := dialGuest(o.t, o.s.Addrs()[0])
 	for {
 		got := c.ask("auth key " + name + "-key " + name + "-secret")
 		if strings.HasPrefix(got, "CLIENT_ERROR") {
 			return
 		}
-		if time.Since(changed) > revokedWithin {
-			o.t.Fatalf("tenant %s still logs in %v after it was suspended: %q", name, time.Since(changed), got)
+		if time.Since(since) > limit {
+			o.t.Fatalf("tenant %s still logs in after %v: %q", name, time.Since(since), got)
 		}
+		time.Sleep(forceEvery)
 	}
 }
 
@@ -120,3 +126,24 @@
 	}
 	o.suspend("a")
 }
+
+// Guards against a change that is stored and never in force, as its export failed once and nothing makes it
+// again: the answer tells the administrator not to.
+func TestFailedExportIsMadeAgainWithoutAnotherChange(t *testing.T) {
+	o := startOffice(t)
+	obstacle := filepath.Join(o.dir, "callers.toml.next")
+	if err := os.Mkdir(obstacle, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	_, tag, _ := o.call("GET", "/v1/tenants/a", "all", "", nil)
+	if status, _, body := o.call("PUT", "/v1/tenants/a", "all", tag, spec{"suspended": true}); status != 503 {
+		t.Fatal(status, body)
+	}
+	if got := dialGuest(t, o.s.Addrs()[0]).ask("auth key a-key a-secret"); got != "HD" {
+		t.Fatalf("the change is in force though the file could not be written: %q", got)
+	}
+	if err := os.Remove(obstacle); err != nil {
+		t.Fatal(err)
+	}
+	o.refusedWithin(revokedWithin, "a", time.Now())
+}
