--- a/internal/fleettest/soak/cacheserver.go
+++ b/internal/fleettest/soak/cacheserver.go
@@ -37,6 +37,8 @@
 	ledger   *Ledger
 	hits     float64 // share of reads that are hits
 	repeats  repeats // Twice
+	pace     *pace   // of SlowBody and LateBody; nil = drawn for each answer
+	share    float64 // of answers that are slow in these modes
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -107,7 +109,7 @@
 )
 
 func startCacheServer(l *Ledger, id string, seed uint64) (*cacheServer, error) {
-	s := &cacheServer{id: id, ledger: l, hits: 0.8, repeats: usualRepeats, mode: Normal, rng: rand.New(rand.NewPCG(seed, 7)), conns: map[*servedConn]struct{}{}}
+	s := &cacheServer{id: id, ledger: l, hits: 0.8, repeats: usualRepeats, share: 1, mode: Normal, rng: rand.New(rand.NewPCG(seed, 7)), conns: map[*servedConn]struct{}{}}
 	return s, s.listen("127.0.0.1:0")
 }
 
@@ -371,6 +373,17 @@
 	return m, hit, work
 }
 
+// drawSlow draws the pace of an answer; slow is false where it is written at once.
+func (s *cacheServer) drawSlow(mode Mode) (p pace, slow bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, slow = drawPace(s.rng, mode)
+	if s.pace != nil {
+		p = *s.pace
+	}
+	return p, slow && s.rng.Float64() < s.share
+}
+
 // answer answers a command, once its work is done.
 func (s *cacheServer) answer(c *servedConn, cmd command, gone <-chan struct{}) {
 	if cmd.attempt == nil {
@@ -423,6 +436,11 @@
 		text = "HD O" + id + " c" + id + "\r\n"
 	case hit:
 		value := key + "/" + id + "/" + s.id
+		if p, slow := s.drawSlow(mode); slow {
+			value = paddedValue(value, p.length)
+			c.writeSlowly(s.ledger, cmd.attempt, gone, fmt.Sprintf("VA %d O%s h1%s\r\n", len(value), id, load), value, "\r\n", p)
+			return
+		}
 		text = fmt.Sprintf("VA %d O%s h1%s\r\n%s\r\n", len(value), id, load, value)
 	}
 	s.ledger.markAnswered(cmd.attempt, c.TCPConn) // before the router can know
--- a/internal/fleettest/soak/check.go
+++ b/internal/fleettest/soak/check.go
@@ -24,6 +24,7 @@
 	SlowStart  Invariant = "slow-start" // no server that has just started gets more than it is allowed, by all routers together
 	Process    Invariant = "process"    // no crash, no start that fails, an end in time
 	SelfCheck  Invariant = "self-check" // the router's own guard has found nothing
+	CutOff     Invariant = "cut-off"    // no sound answer is cut off that can be whole in the client's time
 	Empty      Invariant = "empty"      // a router out of service holds no connection that is idle or has a recent request
 )
 
@@ -104,6 +105,7 @@
 	c.r.Attempts += len(r.Attempts)
 	c.r.Retries += max(0, len(r.Attempts)-1)
 	c.answer(r)
+	c.cut(r)
 	if len(r.Attempts) > maxAttempts {
 		c.broken(MaxAttempt, r.ID, fmt.Sprintf("%d attempts", len(r.Attempts)))
 	}
--- a/internal/fleettest/soak/deadline_test.go
+++ b/internal/fleettest/soak/deadline_test.go
@@ -13,8 +13,9 @@
 	}
 	poll := class("poll", Once)
 	poll.Read = true
+	status := Class{Name: "status", Effect: Repeatable, Target: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, Read: true}
 	plan := Plan{Seed: 1, Routers: 1, Servers: servers, settings: settings{Routers: 1, ConnectTimeout: connectTimeout, ColdPhase: time.Second, ColdFrom: 0.3, FallFactor: 3, FallFor: 2 * time.Second,
-		Classes: []Class{class("read", Repeatable), class("put", Keyed), class("bill", Once), poll}}}
+		Classes: []Class{class("read", Repeatable), class("put", Keyed), class("bill", Once), poll, status}}}
 	w := &world{plan: plan, program: program, dir: t.TempDir(), log: t.Logf, ledger: NewLedger(), replacing: map[int]bool{}, draining: map[int]bool{}}
 	t.Cleanup(w.close)
 	if err := w.start(); err != nil {
--- a/internal/fleettest/soak/ledger.go
+++ b/internal/fleettest/soak/ledger.go
@@ -41,6 +41,9 @@
 	Gone           bool          // it was answered on a connection that the router had closed
 	Ran            bool          // it may have had its effect
 	Effect         Effect        // of its request's class
+	Begun          time.Time     // when the head of a slow answer was written; zero = it was none,
+	WholeBy        time.Time     // when that answer is whole,
+	CutAt          time.Time     // and when the router closed its connection before; zero = it did not
 }
 
 // Outcome is what a client got.
--- a/internal/fleettest/soak/origin.go
+++ b/internal/fleettest/soak/origin.go
@@ -23,6 +23,8 @@
 	rng     *rand.Rand
 	mode    Mode
 	repeats repeats // Twice
+	pace    *pace   // of SlowBody and LateBody; nil = drawn for each answer
+	form    string  // of their answers; empty = drawn
 	ln      *listener
 	conns   map[*net.TCPConn]struct{}
 	wg      sync.WaitGroup
@@ -187,10 +189,45 @@
 	if !waited(ctx, work) {
 		return
 	}
+	if p, form, slow := o.drawSlow(mode); slow && r.Method == http.MethodGet {
+		head, body, end := slowResponse(form, paddedValue(r.value(), p.length))
+		whole := c.writeSlowly(o.ledger, a, ctx.Done(), head, body, end, p)
+		if !whole || form == formToEnd {
+			c.Close()
+		}
+		return
+	}
 	o.ledger.markAnswered(a, c.TCPConn)
 	o.reply(c, r, mode, again)
 }
 
+// drawSlow draws the pace and the form of an answer; slow is false where it is written at once. What has no
+// announced length is no longer than what routers buffer.
+func (o *origin) drawSlow(mode Mode) (p pace, form string, slow bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p, slow = drawPace(o.rng, mode)
+	form = originForms[o.rng.IntN(len(originForms))]
+	if o.form != "" {
+		form = o.form
+	}
+	if o.pace != nil {
+		p = *o.pace
+	}
+	if form != formLength {
+		p.length = min(p.length, bufferedLength)
+	}
+	return p, form, slow
+}
+
+// bufferedLength is the longest value of an answer that does not announce its length.
+const bufferedLength = 64 << 10
+
+// value returns the value of a request for one.
+func (r originRequest) value() string {
+	return strings.TrimPrefix(r.URL.Path, "/") + "/" + r.Header.Get("X-Correlation-Id") + "/" + originID
+}
+
 // httpText is an answer with a length.
 func httpText(status int, body string, headers ...string) string {
 	var b bytes.Buffer
@@ -216,10 +253,10 @@
 
 // reply answers a request that has run.
 func (o *origin) reply(c *servedConn, r originRequest, mode Mode, again repeated) {
-	key, id := strings.TrimPrefix(r.URL.Path, "/"), r.Header.Get("X-Correlation-Id")
+	id := r.Header.Get("X-Correlation-Id")
 	body := "r" + id
 	if r.Method == http.MethodGet {
-		body = key + "/" + id + "/" + originID
+		body = r.value()
 	}
 	text := httpText(http.StatusOK, body)
 	switch mode {
