Logs: why an attempt is canceled, and how much of an answer had come when it was given up

At debug level an attempt that is canceled is logged with its reason and what is left, and an incomplete answer with its bytes, the time since its first byte and whether it was canceled.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -94,6 +94,7 @@
 		_, err = c.in.Peek(1)
 	}
 	if err != nil { // invalid or incomplete: the request has run, and the server was working
+		c.traceIncomplete(&work, err)
 		a = engine.Reply{Status: decide.InvalidAnswer, Load: a.Load}
 		c.target.pool.guard.CountPrevented(guard.Attribution, work.requestID(), err.Error())
 	}
--- a/internal/backend/trace.go
+++ b/internal/backend/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"mossproxy.example/mossproxy/internal/engine"
 )
@@ -42,6 +43,19 @@
 	}
 }
 
+// traceIncomplete logs an answer that could not be read, or not whole: what had come of it, and since when.
+func (c *conn) traceIncomplete(work *task, err error) {
+	if !c.target.pool.trace {
+		return
+	}
+	sinceFirst := -1.0
+	if !c.answerStart.IsZero() {
+		sinceFirst = float64(time.Since(c.answerStart).Microseconds()) / 1000
+	}
+	slog.Debug("answer of a server is incomplete", "request", work.requestID(), "server", c.target.addr, "connection", c.LocalAddr().String(), "number", work.number,
+		"bytes", maxAnswerBytes-c.readBudget, "since_first_byte_ms", sinceFirst, "canceled", c.shut.Load(), "why", err)
+}
+
 // closeFor closes the connection and logs why.
 func (c *conn) closeFor(reason closeReason) {
 	if c.target.pool.trace {
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -135,10 +135,11 @@
 }
 
 // cancel aborts an attempt by closing its connection.
-func (a *attempt) cancel(e *Engine) {
+func (a *attempt) cancel(e *Engine, reason cancelReason) {
 	if a.finished {
 		return
 	}
+	a.traceCanceled(reason)
 	a.phase.CompareAndSwap(phaseOpening, phaseCanceled)
 	a.canceler.Cancel()
 	e.deferred = append(e.deferred, func() { e.finishAttempt(a, replyWithStatus(decide.Canceled)) })
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -446,7 +446,7 @@
 	e.finish(r, Answer{Result: ClientGone})
 	e.balancer.ClientGone(e.now(), r.id)
 	for _, a := range r.attempts { // also those that the Balancer does not cancel: nobody waits for them
-		a.cancel(e)
+		a.cancel(e, cancelClientLeft)
 	}
 }
 
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -60,7 +60,7 @@
 // Cancel aborts an attempt.
 func (e host) Cancel(id uint32, n int) {
 	if r := e.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
-		r.attempts[n].cancel(e.Engine)
+		r.attempts[n].cancel(e.Engine, cancelDecided)
 	}
 }
 
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -40,6 +40,23 @@
 	}
 }
 
+// cancelReason is the log name of why an attempt is canceled.
+type cancelReason string
+
+// Why attempts are canceled.
+const (
+	cancelDecided    cancelReason = "decided: stalled, overtaken, or its request has its final answer"
+	cancelClientLeft cancelReason = "the client has disconnected"
+)
+
+// traceCanceled logs that an attempt is canceled, and what its client has left.
+func (a *attempt) traceCanceled(reason cancelReason) {
+	if a.engine.traceRequests {
+		now := a.engine.now()
+		slog.Debug("attempt canceled", "request", a.request.ID, "attempt", a.index, "server", a.serverID, "why", string(reason), "after_ms", now-a.startedAt, "left_ms", a.request.deadline-now)
+	}
+}
+
 // traceAnswered logs a final answer with the number of attempts.
 func (e *Engine) traceAnswered(r *request, answer Answer) {
 	if e.traceRequests {
