Answers that come slowly are read to their end: no bound on waiting bounds the whole

What callers saw: reads rejected with 1.5 to 2 s left. The router closed the connections of up to five servers that had begun sound answers, 36 to 258 ms behind the head. Change: protocols tell when a head is read and fits its request. From then on the attempt ends with the client's deadline alone; the decision neither cancels nor repeats it, and the time that the body takes counts neither as the server's queue nor as its latency. A head that stops short, which proves nothing, may pause for half of the client's time (250 ms at least), so that a retry has as much. A server of which nothing comes for 250 ms in the middle of an answer is avoided by new requests, as before, but the answer is not cut.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -283,8 +283,8 @@
 	if !s.ejected { // for an ejected one, used as a last resort, there is no better estimate
 		fleetWait *= b.sendSparsity()
 	}
-	return max(0, fleetWait) +
-		max(0, (float64(s.inFlight)+others+1)*1000/(b.capacityOf(s)*b.warmFraction(s))-s.latency.floor)
+	queued := float64(s.inFlight-s.answering) + others + 1
+	return max(0, fleetWait) + max(0, queued*1000/(b.capacityOf(s)*b.warmFraction(s))-s.latency.floor)
 }
 
 // capacityOf returns a server's capacity in requests a second. Until the server reports one, an estimate
@@ -605,13 +605,14 @@
 
 // handleOutcome records the outcome of an attempt, then retries, holds, ends or closes its request.
 func (b *Balancer) handleOutcome(r *request, a *attempt, o Outcome) {
+	o.Latency = a.timeToAnswer(o.Latency)
 	// fetchFailed: the origin failed, not the server that fetched from it.
 	likelyFetch, fetchFailed := r.mayFetch, o.Status == Failed && o.CacheResult == 2 && !b.cfg.Aside
 	if b.setMayFetch(r, false); o.Status.concernsServer() && !fetchFailed &&
 		!(likelyFetch && o.Status == TimedOut) {
 		b.observeHealth(a.server, o.Status, a.sentAt)
 	}
-	if timeout := o.Status == TimedOut && !likelyFetch; a.server != b.origin &&
+	if timeout := o.Status == TimedOut && !likelyFetch && !a.begun(); a.server != b.origin &&
 		(timeout || o.Status == QueueFull) {
 		b.fleetLatency.update(b.now, b.fleetLatency.floor+r.class.Aim, fleetLatencyWeight)
 		// A time-out shows a queue even if the server answers some requests in time.
@@ -633,7 +634,7 @@
 	}
 	if a.server != b.origin && o.Status == OK {
 		if o.CacheResult != 2 { // after a fetch, the latency says nothing about the server
-			if b.waitShare = min(maxBaseWaitShare, b.waitShare+waitShareGain); b.now > r.aimAt {
+			if b.waitShare = min(maxBaseWaitShare, b.waitShare+waitShareGain); a.answeredAt(b.now) > r.aimAt {
 				b.waitShare, b.lastLate = max(0, b.waitShare-waitShareCut), b.now
 			}
 			b.latencies.update(o.Latency)
@@ -691,7 +692,8 @@
 // handleStall acts on an attempt that has had no outcome in time. A server that has answered other requests
 // since the attempt was sent is not suspected.
 func (b *Balancer) handleStall(r *request, i int) {
-	if i >= len(r.attempts) || r.attempts[i].done || b.now >= r.aimAt && r.attempts[i].server != b.origin {
+	if i >= len(r.attempts) || r.attempts[i].done || r.attempts[i].begun() ||
+		b.now >= r.aimAt && r.attempts[i].server != b.origin {
 		return
 	}
 	a := &r.attempts[i]
--- a/decide/state.go
+++ b/decide/state.go
@@ -81,6 +81,7 @@
 	Entry
 	listed                   bool          // is on the list
 	inFlight                 int           // own attempts
+	answering                int           // those of them whose answers have begun
 	lastSent                 float64       // when the last attempt was sent
 	connOpen                 bool          // a connection may have been open since lastSent
 	connRefused              bool          // a connection was refused, and nothing has been answered since
@@ -172,8 +173,9 @@
 type attempt struct {
 	server           *server
 	sentAt           float64
-	done, mayHaveRun bool // its outcome is known; may have run
-	wasOvertaken     bool // was past its patience when later ones had been answered
+	begunAt          float64 // when its answer began, before it was whole; 0 = it has not
+	done, mayHaveRun bool    // its outcome is known; may have run
+	wasOvertaken     bool    // was past its patience when later ones had been answered
 }
 
 // request is a request of a client until it has its final answer and no attempt is in flight.
@@ -204,6 +206,9 @@
 	a.done, a.mayHaveRun = true, !st.NeverRan()
 	r.inFlight--
 	a.server.inFlight--
+	if a.begun() {
+		a.server.answering--
+	}
 	return a
 }
 
--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -26,6 +26,7 @@
 		return false
 	}
 	work, r := c.task, c.remainder
+	c.answerBy = work.try.AnswerBy
 	c.mu.Unlock()
 	reply, reuse, err := c.readAnswer(work, err)
 	if r != nil {
@@ -84,7 +85,7 @@
 		a.Status = decide.OK
 		a.Load, reuse, err = proto.ReadLoad(c.in)
 	default:
-		a, reuse, err = proto.ReadAnswer(c.in, c.target.addr, work.request, work.try)
+		a, reuse, err = proto.ReadAnswer(c.in, c.target.addr, work.request, work.try, c.headFunc)
 		if err == nil {
 			reuse, err = c.passBarrier(work, reuse)
 		}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -39,8 +39,15 @@
 	in          *bufio.Reader // this and the following fields belong to serve
 	readBudget  int           // bytes that may still be read for the current answer
 	answerStart time.Time     // when the first byte of the answer was there; zero = not reading an answer
+	headDone    bool          // the head of the answer is read
+	headFunc    func()        // sets headDone; created once
+	answerBy    time.Time     // when the answer has to be whole; zero = unknown
+	streaming   bool          // copyTo sets the read deadlines
 	deadlineSet bool          // a read deadline is set
-	readOp      socketOp
+	// The read deadline is the latest for the whole answer.
+	deadlineFinal bool
+	begun         bool // the handler of the task has been told that the answer has begun
+	readOp        socketOp
 
 	mu        sync.Mutex
 	commands  uint64 // written so far
@@ -71,13 +78,18 @@
 	run func(fd uintptr) bool
 }
 
-// Limits on the size and duration of an answer, whatever length it announces.
+// Limits on an answer, whatever length it announces. Once its head is read it may take until the client stops
+// waiting.
 const (
 	// Two heads of 16 KiB and two values, with room for chunk headers and 1xx responses.
 	maxAnswerBytes = 160 << 10
-	// answerTimeout is the time for the rest of an answer once its first byte is there. The aims of classes
-	// (decide.Class.Aim) are longer, so that a read is retried in time.
-	answerTimeout = 250 * time.Millisecond
+	// minStall is the time for the next bytes of a head, which does not say yet that it answers the request, and
+	// of an answer that no client waits for.
+	minStall = 250 * time.Millisecond
+	// headStallShare is the share of the client's time that the next bytes of a head may take if that is more.
+	headStallShare = 0.5
+	// cancelMargin is how long after the client's deadline reading ends if the attempt has not been canceled.
+	cancelMargin = 100 * time.Millisecond
 )
 
 // maxLineBytes is the size of the read buffer and so the length of the longest line a protocol can read.
@@ -101,6 +113,7 @@
 		c.shut.Store(true)
 		c.unlink()
 	}
+	c.headFunc = func() { c.headDone = true }
 	c.readOp.run, c.writeOp.run = c.readSocket, c.writeCommand
 	c.in = bufio.NewReaderSize(c, maxLineBytes)
 	return c, nil
@@ -133,12 +146,8 @@
 	if c.readBudget <= 0 {
 		return 0, fmt.Errorf("answer over %d bytes", maxAnswerBytes)
 	}
-	// Setting a deadline is costly, so only answers that do not arrive in one piece get one.
-	if !c.deadlineSet && !c.answerStart.IsZero() {
-		c.deadlineSet = true
-		if err := c.SetReadDeadline(c.answerStart.Add(answerTimeout)); err != nil {
-			return 0, err
-		}
+	if err := c.limitStall(); err != nil {
+		return 0, err
 	}
 	c.readOp.buf, c.readOp.n, c.readOp.err = b[:min(len(b), c.readBudget)], 0, nil
 	err := c.raw.Read(c.readOp.run)
@@ -148,12 +157,46 @@
 	n := c.readOp.n
 	c.readOp.buf = nil
 	c.readBudget -= n
+	if c.begun && n > 0 {
+		c.task.handler.AnswerProgress()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errors.New("timed out in the middle of an answer")
 	}
 	return n, err
 }
 
+// limitStall sets the read deadline for the next bytes of an answer. Setting a deadline is costly, so only
+// answers that do not arrive in one piece get one, and only one once the head is read.
+func (c *conn) limitStall() error {
+	if c.streaming || c.answerStart.IsZero() {
+		return nil
+	}
+	now := time.Now()
+	deadline := now.Add(minStall)
+	switch {
+	case c.answerBy.IsZero():
+	case !c.headDone:
+		left := time.Duration(headStallShare * float64(c.answerBy.Sub(now)))
+		deadline = now.Add(max(minStall, left))
+	case c.deadlineFinal:
+		return nil
+	default:
+		deadline, c.deadlineFinal = c.answerBy.Add(cancelMargin), true
+	}
+	c.deadlineSet = true
+	return c.SetReadDeadline(deadline)
+}
+
+// clearDeadline removes the read deadline, if one is set.
+func (c *conn) clearDeadline() error {
+	if !c.deadlineSet {
+		return nil
+	}
+	c.deadlineSet = false
+	return c.SetReadDeadline(time.Time{})
+}
+
 // readSocket reads what is available. It holds mu while it does so: input that was read while there was no
 // task answers no request, however late serve gets to check it.
 func (c *conn) readSocket(fd uintptr) bool {
@@ -164,6 +207,7 @@
 		n, err = syscall.Read(int(fd), c.readOp.buf)
 	}
 	if errors.Is(err, syscall.EAGAIN) {
+		c.tellBegun()
 		return false
 	}
 	if c.readOp.n = max(n, 0); err != nil {
@@ -176,9 +220,19 @@
 	return true
 }
 
+// tellBegun tells the handler of the task that its answer has begun, if more of it has to be waited for. The
+// caller holds mu.
+func (c *conn) tellBegun() {
+	if c.headDone && !c.begun && c.busy {
+		c.begun = true
+		c.task.handler.AnswerBegun()
+	}
+}
+
 // awaitAnswer waits for the first byte of an answer and starts its limits.
 func (c *conn) awaitAnswer() error {
 	c.readBudget, c.answerStart = maxAnswerBytes, time.Time{}
+	c.headDone, c.begun, c.streaming, c.deadlineFinal = false, false, false, false
 	if _, err := c.in.Peek(1); err != nil {
 		return err
 	}
@@ -190,11 +244,8 @@
 // belong to no request. Input that comes later ends the connection.
 func (c *conn) readyForReuse() bool {
 	c.answerStart = time.Time{}
-	if c.deadlineSet {
-		c.deadlineSet = false
-		if c.SetReadDeadline(time.Time{}) != nil {
-			return false
-		}
+	if c.clearDeadline() != nil {
+		return false
 	}
 	return c.in.Buffered() == 0 && !c.tls.hasUnread()
 }
--- a/internal/backend/meta/meta.go
+++ b/internal/backend/meta/meta.go
@@ -31,8 +31,8 @@
 var statusByKind = map[meta.Kind]decide.Status{meta.Done: decide.OK, meta.Miss: decide.Miss, meta.Busy: decide.QueueFull, meta.Failed: decide.Failed}
 
 // ReadAnswer reads the answer to a request. Error lines carry no id.
-func (Protocol) ReadAnswer(in *bufio.Reader, _ string, r *engine.Request, _ engine.Try) (engine.Reply, engine.Reuse, error) {
-	a, err := meta.ReadAnswer(in, newCommand(r)) // an invalid answer may still carry a load report
+func (Protocol) ReadAnswer(in *bufio.Reader, _ string, r *engine.Request, _ engine.Try, head func()) (engine.Reply, engine.Reuse, error) {
+	a, err := meta.ReadAnswer(in, newCommand(r), head) // an invalid answer may still carry a load report
 	reply := engine.Reply{Status: statusByKind[a.Kind], Body: a.Body, CacheResult: a.CacheResult, Load: settings.ParseLoad(a.LoadReport)}
 	if a.UnreadBytes > 0 {
 		reply.UnreadBytes, reply.Trailer = a.UnreadBytes, "\r\n"
--- a/internal/backend/origin/origin.go
+++ b/internal/backend/origin/origin.go
@@ -90,18 +90,20 @@
 }
 
 // readResponse reads an answer of the origin with its body, unless the body is to be streamed. The body is
-// read here because the Close of net/http would read an unwanted one to its end, however long that is.
-func readResponse(r *bufio.Reader, method string, long bool) (*http.Response, []byte, error) {
+// read here because the Close of net/http would read an unwanted one to its end, however long that is. head is
+// called once the headers are read.
+func readResponse(r *bufio.Reader, method string, long bool, head func()) (*http.Response, []byte, error) {
 	for range maxInformational {
-		head, err := readHead(r)
+		text, err := readHead(r)
 		if err != nil {
 			return nil, nil, err
 		}
-		resp, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(head), len(head)), &http.Request{Method: method})
+		resp, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(text), len(text)), &http.Request{Method: method})
 		switch {
 		case err != nil:
 			return nil, nil, meta.Malformed("origin answer: %v", err)
 		case resp.StatusCode >= 200:
+			head()
 			if n := resp.ContentLength; long && resp.StatusCode == http.StatusOK && n > meta.MaxValue && n <= meta.MaxLongValue {
 				return resp, nil, nil
 			}
@@ -157,13 +159,13 @@
 }
 
 // ReadAnswer reads the answer to a request. Nothing in it names the request.
-func (p Protocol) ReadAnswer(in *bufio.Reader, _ string, q *engine.Request, _ engine.Try) (a engine.Reply, reuse engine.Reuse, err error) {
+func (p Protocol) ReadAnswer(in *bufio.Reader, _ string, q *engine.Request, _ engine.Try, head func()) (a engine.Reply, reuse engine.Reuse, err error) {
 	a.Load = decide.NoLoad
 	method := http.MethodGet
 	if q.Write {
 		method = http.MethodPut
 	}
-	resp, body, err := readResponse(in, method, p.StreamLongValues && !q.Write)
+	resp, body, err := readResponse(in, method, p.StreamLongValues && !q.Write, head)
 	if err != nil {
 		return a, engine.NoReuse, err
 	}
@@ -202,7 +204,7 @@
 
 // ReadLoad reads the answer to a probe.
 func (Protocol) ReadLoad(r *bufio.Reader) (decide.Load, engine.Reuse, error) {
-	resp, _, err := readResponse(r, http.MethodGet, false)
+	resp, _, err := readResponse(r, http.MethodGet, false, func() {})
 	if err != nil {
 		return decide.NoLoad, engine.NoReuse, err
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -365,6 +365,12 @@
 // Written does nothing: probes are not attempts.
 func (probeHandler) Written() {}
 
+// AnswerBegun does nothing: a probe is bounded by its context.
+func (probeHandler) AnswerBegun() {}
+
+// AnswerProgress does nothing, as AnswerBegun.
+func (probeHandler) AnswerProgress() {}
+
 // Link returns nil: probes are not attempts.
 func (probeHandler) Link() *engine.Link { return nil }
 
--- a/internal/backend/resp/attribution_test.go
+++ b/internal/backend/resp/attribution_test.go
@@ -69,6 +69,8 @@
 }
 func (resultHandler) Link() *engine.Link    { return nil }
 func (resultHandler) Written()              {}
+func (resultHandler) AnswerBegun()          {}
+func (resultHandler) AnswerProgress()       {}
 func (h resultHandler) Done(r engine.Reply) { h <- r }
 
 // getter returns a function that gets a key over a pool of connections to one server.
--- a/internal/backend/resp/protocol.go
+++ b/internal/backend/resp/protocol.go
@@ -127,13 +127,14 @@
 
 // ReadAnswer reads the reply to a command and maps it to the outcome of the attempt. An error means that the
 // connection can't be used any more.
-func (p Protocol) ReadAnswer(in *bufio.Reader, addr string, q *engine.Request, try engine.Try) (engine.Reply, engine.Reuse, error) {
+func (p Protocol) ReadAnswer(in *bufio.Reader, addr string, q *engine.Request, try engine.Try, head func()) (engine.Reply, engine.Reuse, error) {
 	r := resp.NewReader(in)
 	if try.Asking {
 		if _, err := r.ReadReply(); err != nil {
 			return engine.Reply{Load: decide.NoLoad}, engine.NoReuse, err
 		}
 	}
+	r = r.OnHead(head)
 	reply, err := r.ReadReply()
 	for err == nil && reply.Kind == resp.Push { // unsolicited push message
 		reply, err = r.ReadReply()
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -107,7 +107,7 @@
 
 func (l *streamedValue) copyTo(to io.Writer) error {
 	c := l.conn
-	c.readBudget, c.deadlineSet = l.length+len(l.trailer), true // from here on, copyTo sets the read deadline
+	c.readBudget, c.streaming, c.deadlineSet = l.length+len(l.trailer), true, true
 	buf := chunkBuffers.Get().(*[]byte)
 	defer chunkBuffers.Put(buf)
 	for remaining := l.length; remaining > 0; {
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -30,6 +30,9 @@
 	previous *attempt       // the attempt of the request before this one; nil = this is the first
 	link     Link           // whether a server may still be working on it
 	held     HeldConnection // its connection, after an answer that names no request; nil = none
+	// Float64 bits of the time when the latest bytes of its answer came, once that has begun.
+	progressBits atomic.Uint64
+	stallTimer   *timer // checks that more of the answer comes; nil = it has not begun
 }
 
 // Phases of an attempt. phaseOpening is left exactly once, for one of the other two.
@@ -60,6 +63,9 @@
 	}
 	a.traceEnded(reply)
 	e.timers.stop(&a.timer)
+	if a.stallTimer != nil {
+		e.timers.stop(a.stallTimer)
+	}
 	r := a.request
 	r.inFlight--
 	if reply.Status == decide.OK {
--- a/internal/engine/checks.go
+++ b/internal/engine/checks.go
@@ -51,7 +51,8 @@
 	a.checkEarlierAttempts()
 	remaining := a.request.deadline - now
 	sendTime := min(maxSendShare*remaining, sendTimePerByte*float64(len(a.request.Value)))
-	try := Try{DeadlineMS: max(1, remaining-sendTime-deadlineMargin), WriteBy: time.Now().Add(milliseconds(sendTime + writeSlack)), Asking: a.asking}
+	wallNow := time.Now()
+	try := Try{DeadlineMS: max(1, remaining-sendTime-deadlineMargin), WriteBy: wallNow.Add(milliseconds(sendTime + writeSlack)), AnswerBy: wallNow.Add(milliseconds(remaining)), Asking: a.asking}
 	a.passedDeadline = try.DeadlineMS
 	a.traceBegun(remaining)
 	return try, true
--- a/internal/engine/timers.go
+++ b/internal/engine/timers.go
@@ -13,7 +13,7 @@
 	heapIndex int // index in the heap, counted from 1; 0 = not in the heap
 	kind      timerKind
 	request   *request // requestDeadline only
-	attempt   *attempt // attemptTimeout only
+	attempt   *attempt // attemptTimeout and answerStall only
 	token     uint64   // balancerTimer only
 	nextFree  *timer   // in the list of free timers
 }
@@ -23,6 +23,7 @@
 const (
 	balancerTimer timerKind = iota
 	attemptTimeout
+	answerStall
 	requestDeadline
 	countsPublication
 )
@@ -46,6 +47,8 @@
 		e.balancer.Timer(e.now(), token)
 	case attemptTimeout:
 		e.timeOut(t.attempt)
+	case answerStall:
+		e.checkProgress(t.attempt)
 	case countsPublication:
 		e.publishPeriodically()
 	case requestDeadline: // fallback: the client gets an answer in time even if the Balancer has given none
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// traceStalled logs that nothing more of an answer comes.
+func (a *attempt) traceStalled(since float64) {
+	if a.engine.traceRequests {
+		slog.Debug("answer stalled", "request", a.request.ID, "attempt", a.index, "server", a.serverID, "since_ms", since, "left_ms", a.request.deadline-a.engine.now())
+	}
+}
+
 // traceAnswered logs a final answer with the number of attempts.
 func (e *Engine) traceAnswered(r *request, answer Answer) {
 	if e.traceRequests {
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -40,6 +40,8 @@
 	DeadlineMS float64 // deadline in ms that is passed to the server, at most what the client has left
 	// Latest time for writing the last byte: after that, DeadlineMS exceeds what the client has left.
 	WriteBy time.Time
+	// When the client stops waiting: an answer that is whole later is of no use.
+	AnswerBy time.Time
 	// The slot is being migrated: the server takes the request only with ASKING, else it redirects it.
 	Asking bool
 }
@@ -182,7 +184,12 @@
 	Begin() (Try, bool)
 	Link() *Link // where the backend keeps whether the attempt may be in progress; nil = nowhere
 	Written()    // called once after the last byte is written; does not block
-	Done(Reply)  // called once with the result, unless Attempt has returned it; may block briefly
+	// AnswerBegun is called at most once, when the head of the answer is there and the rest has to be waited
+	// for. It does not block.
+	AnswerBegun()
+	// AnswerProgress is called after AnswerBegun, each time that more of the answer has come. It does not block.
+	AnswerProgress()
+	Done(Reply) // called once with the result, unless Attempt has returned it; may block briefly
 }
 
 // Server is one server of a server list.
--- a/internal/proto/meta/meta.go
+++ b/internal/proto/meta/meta.go
@@ -325,8 +325,9 @@
 }
 
 // ReadAnswer reads the answer of a cache server to a command. A value longer than MaxValue stays unread, see
-// UnreadBytes. After an error the connection can't be used any more.
-func ReadAnswer(r *bufio.Reader, c *Command) (Answer, error) {
+// UnreadBytes. head is called once the line ahead of a value is read and names the command. After an error the
+// connection can't be used any more.
+func ReadAnswer(r *bufio.Reader, c *Command, head func()) (Answer, error) {
 	var a Answer
 	line, report, err := readAnswerLine(r)
 	if err != nil {
@@ -343,7 +344,10 @@
 	case kind == "VA" && c.Verb == "mg":
 		if id, err = answerID(flags[1:]); err == nil && id == c.ID { // else unread: for no request
 			var n int
-			if n, err = parseLength(flags[0], MaxLongValue); err == nil && n > MaxValue {
+			if n, err = parseLength(flags[0], MaxLongValue); err == nil {
+				head()
+			}
+			if err == nil && n > MaxValue {
 				a.UnreadBytes = n
 			} else if err == nil {
 				a.Body, err = ReadValue(r, n, false)
--- a/internal/proto/resp/resp.go
+++ b/internal/proto/resp/resp.go
@@ -39,10 +39,17 @@
 }
 
 // Reader reads commands or replies. The buffer of in limits the length of lines and must hold MaxLine bytes.
-type Reader struct{ in *bufio.Reader }
+type Reader struct {
+	in   *bufio.Reader
+	head func() // see OnHead; nil = nobody is told
+}
 
 // NewReader returns a Reader of in, whose buffer must hold at least MaxLine bytes.
-func NewReader(in *bufio.Reader) Reader { return Reader{in} }
+func NewReader(in *bufio.Reader) Reader { return Reader{in: in} }
+
+// OnHead returns a Reader that calls head each time that it has read the first line of a reply, except for push
+// messages.
+func (r Reader) OnHead(head func()) Reader { return Reader{r.in, head} }
 
 // readLine returns a line without its line end, valid until the next read.
 func (r Reader) readLine() ([]byte, error) {
@@ -321,6 +328,9 @@
 		return Reply{}, protocolError("an empty line")
 	}
 	k, rest := Kind(l[0]), l[1:]
+	if depth == 0 && r.head != nil && k != Push {
+		r.head()
+	}
 	switch k {
 	case Simple, Error, Integer, Bool, Double, BigInt:
 		return r.parseScalar(k, rest, b)
