Keys: the records of a router's traffic by key are bounded, whatever names clients send

Cause: each key has a record until its rate has faded, some 20 s, and nothing bounded their number. Change: at most Config.MaxKeys records, an eighth of the memory of an engine; a new key takes the place of the coldest of the next eight that are not being fetched. A popular key stays, as its rate is the highest of any eight.

--- a/decide/api.go
+++ b/decide/api.go
@@ -67,6 +67,7 @@
 	RetryAfter  bool    // clients are told how long to stay away
 	MaxAfter    float64 // ms that a client is told to stay away at most; 0 = no limit
 	MaxAttempts int     // per request, 1 or more
+	MaxKeys     int     // keys whose traffic is recorded; 0 = DefaultMaxKeys
 	ConnIdle    float64 // ms after which idle connections close by themselves; 0 = unknown
 	CPU         float64 // microseconds of CPU per second, 0 = no limit
 
@@ -209,6 +210,12 @@
 	Log(text string)
 }
 
+// DefaultMaxKeys is the default of Config.MaxKeys.
+const DefaultMaxKeys = 1 << 20
+
+// KeyBytes is about the memory that the record of a key takes.
+const KeyBytes = 320
+
 // Validate returns an error that names the first setting that is missing or impossible.
 func (c *Config) Validate() error {
 	bad := func(name string, v any) error {
@@ -223,6 +230,8 @@
 		return bad("Me", c.Me)
 	case len(c.Classes) == 0:
 		return bad("Classes", "(none)")
+	case c.MaxKeys < 0:
+		return bad("MaxKeys", c.MaxKeys)
 	case c.MaxAttempts < 1:
 		return bad("MaxAttempts", c.MaxAttempts)
 	case !nonNegative(c.Cold):
@@ -313,6 +322,9 @@
 		return nil, err
 	}
 	shares := float64(cfg.Routers)
+	if cfg.MaxKeys == 0 {
+		cfg.MaxKeys = DefaultMaxKeys
+	}
 	b := &Balancer{cfg: cfg, tier: Tier{cfg.Routers, shares, math.Inf(1), shares}, processes: 1,
 		shares: shares, host: host, rng: rand.New(rand.NewPCG(seed, 1)),
 		startedAt: -1, retryBudget: 10, fetchLimit: initialFetchLimit(shares), waitShare: 0.2,
--- a/decide/state.go
+++ b/decide/state.go
@@ -41,7 +41,8 @@
 	hashTable      []*server // buckets of the memento-hash; nil = removed
 	tableEpoch     int       // counts rebuilds of hashTable
 	keys           map[uint64]*keyTraffic
-	keyList        []*keyTraffic // values of keys, in order of first use
+	keyList        []*keyTraffic // values of keys
+	nextEviction   int           // index in keyList behind which the next key to forget is looked for
 	requests       map[uint32]*request
 	waiting        []*request    // for the origin or for a fetch of their key
 	arrivals       decayingSum   // requests
@@ -455,7 +456,7 @@
 	k := b.keys[req.Key]
 	if k == nil {
 		k = &keyTraffic{id: req.Key, meanWork: 1}
-		b.keys[req.Key], b.keyList = k, append(b.keyList, k)
+		b.addKey(k)
 	}
 	// Writes may name fewer owners than reads; that doesn't change the key's owners.
 	subset := req.Write && len(req.Owners) > 0 && len(k.owners) > 0 && k.owners[0] == req.Owners[0]
@@ -467,6 +468,32 @@
 
 // hottestKeys decays all rates to the present, forgets faded keys and the shares of the others, and returns
 // the hottest of them in order. It is a single pass without allocations per key: requests wait for it, and
+// maxEvictionSamples is how many records are compared for the eviction of one.
+const maxEvictionSamples = 8
+
+// addKey adds the record of a key. If there are too many, it takes the place of the coldest of the next few in
+// turn; if those are all being fetched, the new key goes without a record.
+func (b *Balancer) addKey(k *keyTraffic) {
+	if len(b.keyList) < b.cfg.MaxKeys {
+		b.keys[k.id], b.keyList = k, append(b.keyList, k)
+		return
+	}
+	coldest := -1
+	for range min(maxEvictionSamples, len(b.keyList)) {
+		b.nextEviction = (b.nextEviction + 1) % len(b.keyList)
+		candidate := b.keyList[b.nextEviction]
+		rate := candidate.rate.add(b.now, b.keyMemory(), 0)
+		if candidate.fetch == nil && (coldest < 0 || rate < b.keyList[coldest].rate.value) {
+			coldest = b.nextEviction
+		}
+	}
+	if coldest < 0 {
+		return
+	}
+	delete(b.keys, b.keyList[coldest].id)
+	b.keys[k.id], b.keyList[coldest] = k, k
+}
+
 // there are hundreds of thousands of keys.
 func (b *Balancer) hottestKeys() []*keyTraffic {
 	memory, top := b.keyMemory(), make([]*keyTraffic, 0, maxHotKeys+1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -293,6 +293,7 @@
 	return engine.New(engine.Options{Config: m, Store: s.store, CollectCounts: cfg.Control != nil, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Guard: cfg.guard, ReportRules: s.i == 0, Seed: cfg.SeedNumber + uint64(s.i), MaxHeldBytes: memory / 16,
 		MaxQueuedBytes: memory / 8, InferStarts: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
+	m.MaxKeys = int(max(1, memory/8/decide.KeyBytes))
 
 // unixMS is Unix time in ms that never runs backwards.
 func unixMS() func() float64 {
