Test: the attempt whose answer has begun is looked at past its extended patience

The timers of the test fired once, where an overtaken attempt is only given half as much time again, so that the test was green without the check. Now they fire three times. With the check taken out the attempt is canceled four times, and the test fails.

--- a/decide/begun_test.go
+++ b/decide/begun_test.go
@@ -28,8 +28,10 @@
 func TestAttemptWhoseAnswerHasBegunIsNeitherCanceledNorRepeated(t *testing.T) {
 	b, h, s := beginSlowRead(t)
 	s.answeredSentAt = 100020 // by the answer to a later attempt
-	for _, due := range slices.Clone(h.timers) {
-		b.Timer(100250, due.token)
+	for range 3 {             // a first timer of an overtaken attempt only sets a second one
+		for _, due := range slices.Clone(h.timers) {
+			b.Timer(100250, due.token)
+		}
 	}
 	if len(h.sends) != 1 || len(h.cancels) != 0 || s.ejected {
 		t.Errorf("sent to %v, canceled %v, ejected %v", h.sends, h.cancels, s.ejected)
