Fronts: commands that reach no server are paced, so that one client delays nobody else

Cause: the reader of a connection answers such a command on its own goroutine and reads on while the client does. With input always there it does not leave the processor, and the engine's goroutine, which each request crosses several times, waits behind all such readers; new input of others is looked for only every 10 ms. Change: a token bucket for each connection (64 units, 200 a second), beyond it turns of 32 units from one bucket of 8,000 a second for all clients of an engine, in the order in which they come. A command answered at once costs a unit and one more for each 2 KB; a login 16; a request rejected without an attempt 4. A client beyond that is not read meanwhile; none of its answers is lost and no connection ends.

--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -29,3 +29,6 @@
 		a.lastEmpty = now
 	}
 }
+
+// emptyAt records that the connection holds no input at a time at which nothing is read.
+func (a *arrivalTracker) emptyAt(now float64) { a.lastEmpty = now }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -50,7 +50,9 @@
 	// The last of the answers being written, if it ends with a long value. Used only by the writer.
 	streaming *pendingAnswer
 
-	arrival arrivalTracker // of the input being read; used only by the reader
+	arrival   arrivalTracker // of the input being read; used only by the reader
+	allowance allowance      // used only by the reader
+	neverSent atomic.Int32   // requests rejected without an attempt since pace last counted them
 
 	rawConn     syscall.RawConn // nil = the connection has none
 	directWrite nonBlockingWrite
@@ -66,6 +68,7 @@
 func (c *clientConn) startSession() bool {
 	peer := Peer{RemoteAddr: c.RemoteAddr().String()}
 	if tlsConn, ok := c.Conn.(*tls.Conn); ok {
+		time.Sleep(reserve(c.manager.pacer.handshakes, 1))
 		if err := tlsConn.Handshake(); err != nil { // the connection's read deadline applies
 			return false
 		}
@@ -113,18 +116,6 @@
 	return s != nil && s.Revoked()
 }
 
-// delayThrottled waits for throttleDelay, or until the connection is to be closed.
-func (c *clientConn) delayThrottled() {
-	for until := time.Now().Add(throttleDelay); time.Now().Before(until); time.Sleep(throttlePollInterval) {
-		c.mu.Lock()
-		closing := c.closing.active || c.broken
-		c.mu.Unlock()
-		if closing {
-			return
-		}
-	}
-}
-
 // idleState returns since when the connection has had no open command, and whether it is idle now.
 func (c *clientConn) idleState() (since time.Time, idle bool) {
 	c.mu.Lock()
@@ -234,7 +225,7 @@
 			cmd = Command{Text: c.session.TooManyConnections(), End: true}
 		}
 		if cmd.Delayed {
-			c.delayThrottled()
+			c.pause(throttleDelay)
 		}
 		if cmd.OrderKey > 0 {
 			c.waitForOrder(cmd.OrderKey)
@@ -246,6 +237,9 @@
 			answer.request = cmd.Request
 			answer.Client = c
 			answer.OnAnswer = func(q *engine.Request, a engine.Answer) {
+				if a.NeverSent {
+					c.neverSent.Add(1)
+				}
 				text := []byte(nil)
 				if a.Result != engine.ClientGone {
 					text = cmd.Render(q, a)
@@ -267,6 +261,7 @@
 		if first {
 			c.manager.countActive(c)
 		}
+		c.pace(&cmd)
 		if !c.awaitCommand() {
 			return c.endReading(os.ErrDeadlineExceeded)
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,8 +40,7 @@
 	// Delay before a throttled sender is answered. It costs only a connection slot, which can be reclaimed.
 	throttleDelay = 500 * time.Millisecond
 	// Time for the first byte of a connection that arrives while connections are being drained.
-	firstByteTimeout     = 300 * time.Millisecond
-	throttlePollInterval = 25 * time.Millisecond // between checks for closing during throttleDelay
+	firstByteTimeout = 300 * time.Millisecond
 	// How long a call that fails for lack of system buffers is retried.
 	bufferRetryTimeout  = time.Second
 	bufferRetryInterval = 2 * time.Millisecond // between these retries
@@ -85,6 +84,7 @@
 	OrderKey int  // commands of a connection with the same key above 0 run one after the other
 	End      bool // the connection is closed after the answer
 	Delayed  bool // the sender is throttled: the answer is sent after throttleDelay
+	Work     int  // units of work beyond those of an ordinary command, see Pacer
 }
 
 // ConnManager accepts and serves the connections of one listener.
@@ -99,6 +99,7 @@
 	activeConns   atomic.Int64              // connections that have sent a command
 	reservedSlots atomic.Int64              // slots withheld by SetUsableShare
 	limiter       *connLimiter              // nil = slots are not divided between tenants
+	pacer         *Pacer                    // limits the work that clients cause beside requests
 	wg            sync.WaitGroup
 
 	mu    sync.Mutex
@@ -111,9 +112,13 @@
 	m := &ConnManager{engine: e, protocol: proto, listener: ln, limiter: newConnLimiter(limit, quota), slots: make(chan struct{}, limit), conns: map[*clientConn]struct{}{},
 		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxLineBytes) }}}
 	m.advertised.Store(true)
+	m.pacer = NewPacer()
 	return m
 }
 
+// SetPacer shares a Pacer with the other ConnManagers of the engine. It must be called before Start.
+func (m *ConnManager) SetPacer(p *Pacer) { m.pacer = p }
+
 // Start accepts connections until the listener is closed. Drain waits for all goroutines that it starts.
 func (m *ConnManager) Start() { m.wg.Go(m.acceptLoop) }
 
@@ -141,6 +146,11 @@
 			gap = acceptGap{waitStart, now}
 		}
 		m.serveConn(c, arrived)
+		if wait := reserve(m.pacer.connections, 1); wait > 0 {
+			pauseStart := time.Now()
+			time.Sleep(wait)
+			gap = acceptGap{pauseStart, time.Now()}
+		}
 	}
 }
 
--- a/internal/front/meta/callers.go
+++ b/internal/front/meta/callers.go
@@ -21,9 +21,9 @@
 		reason = s.connCaller.LoginSecret(args[1], []byte(args[2]))
 	}
 	if reason != caller.None {
-		return front.Command{Text: meta.ClientError(reason.String(), 0), Invalid: true, Delayed: reason == caller.Throttled, End: reason == caller.Throttled}
+		return front.Command{Text: meta.ClientError(reason.String(), 0), Invalid: true, Delayed: reason == caller.Throttled, End: reason == caller.Throttled, Work: front.LoginUnits}
 	}
-	return front.Command{Text: []byte("HD\r\n")}
+	return front.Command{Text: []byte("HD\r\n"), Work: front.LoginUnits}
 }
 
 // readAuthenticated reads a request on a pool that requires authentication. Until the caller is known, the
--- a/internal/front/resp/commands.go
+++ b/internal/front/resp/commands.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"mossproxy.example/mossproxy/internal/front"
 	"mossproxy.example/mossproxy/internal/proto/resp"
 	"mossproxy.example/mossproxy/internal/pure/caller"
 )
@@ -16,6 +17,7 @@
 	write                      bool
 	repeatable                 bool // running it twice has the same effect and reply as running it once
 	handler                    func(s *session, args [][]byte) []byte
+	work                       int // see front.Command.Work
 }
 
 // commandSpecs holds the supported commands by upper-case name. A repeatable write gives the same reply the
@@ -46,6 +48,7 @@
 	}
 	commandSpecs["ECHO"].arity, commandSpecs["SELECT"].arity, commandSpecs["AUTH"].arity = 2, 2, -2
 	commandSpecs["CLUSTER"].arity, commandSpecs["CLIENT"].arity = -2, -2
+	commandSpecs["AUTH"].work, commandSpecs["HELLO"].work = front.LoginUnits, front.LoginUnits
 }
 
 // unsupportedCommands maps the names of known but unsupported commands to their error replies.
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -194,7 +194,7 @@
 	case spec.handler != nil:
 		s.throttled = false
 		reply := spec.handler(s, args)
-		return front.Command{Text: reply, End: name == "QUIT" || s.throttled, Delayed: s.throttled}, nil
+		return front.Command{Text: reply, End: name == "QUIT" || s.throttled, Delayed: s.throttled, Work: spec.work}, nil
 	case !e.Ready():
 		return textReply(resp.AppendError(nil, "LOADING the router has no list of servers yet")), nil
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -205,10 +205,13 @@
 		ways = append(ways, way{p, s.Meta})
 	}
 	var out []*front.ConnManager
+	pacer := front.NewPacer()
 	for i, w := range ways {
 		n := places / (len(ways) - i) // equal parts, and the rest goes to the last
 		places -= n
-		out = append(out, front.New(e, w.proto, w.ln, max(1, n), s.places.shared()))
+		m := front.New(e, w.proto, w.ln, max(1, n), s.places.shared())
+		m.SetPacer(pacer)
+		out = append(out, m)
 	}
 	return out
 }
@@ -290,10 +293,10 @@
 	m.Routers, m.Me = m.Routers*s.n, m.Me*s.n+s.i // equal parts of all that routers share: cold servers, the origin, quotas
 	// A value is in memory up to three times, as it came and as it goes out.
 	memory := cfg.Limits.MemoryMB << 20 / int64(s.n)
+	m.MaxKeys = int(max(1, memory/8/decide.KeyBytes))
 	return engine.New(engine.Options{Config: m, Store: s.store, CollectCounts: cfg.Control != nil, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Guard: cfg.guard, ReportRules: s.i == 0, Seed: cfg.SeedNumber + uint64(s.i), MaxHeldBytes: memory / 16,
 		MaxQueuedBytes: memory / 8, InferStarts: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
-	m.MaxKeys = int(max(1, memory/8/decide.KeyBytes))
 
 // unixMS is Unix time in ms that never runs backwards.
 func unixMS() func() float64 {
