Engine: the wait for its own turn is measured, exported, and not blamed on servers

Its log and figures showed late answers, and the decision took servers for stalled that had answered. Change: each batch of events counts how long its oldest event has waited (histogram svc_event_wait_seconds). From 50 ms on the log says so, once a second at most, and the decision extends its patience with the attempts in flight by as much, once for each time. Test: TestPatienceIsExtendedByTheRoutersOwnLateness; without the extension the server's attempt is canceled at once and the test fails.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -537,12 +537,12 @@
 			patience = max(patience, unknownServerAimShare*(r.aimAt-b.now))
 		}
 		if b.now+patience < r.deadline {
-			b.host.Timer(patience, uint64(r.ID)<<8|uint64(len(r.attempts)))
+			b.host.Timer(patience, stallToken(r, len(r.attempts)-1))
 		}
 	}
 	if s == b.origin { // a fetch whose answer is lost blocks all requests that wait for the key
 		b.host.Timer(fetchPatienceFactor*max(b.fetchLatency.value, minExpectedTime),
-			uint64(r.ID)<<8|uint64(len(r.attempts)))
+			stallToken(r, len(r.attempts)-1))
 	}
 	b.host.Send(r.ID, s.ID, 0)
 }
@@ -696,6 +696,9 @@
 		b.now >= r.aimAt && r.attempts[i].server != b.origin {
 		return
 	}
+	if b.extendPatience(r, i) {
+		return
+	}
 	a := &r.attempts[i]
 	if a.server.lastReply >= a.sentAt || a.server == b.origin {
 		// Later attempts were answered, so this one is lost or its request is heavy. It is given half as
@@ -709,7 +712,7 @@
 			b.host.Cancel(r.ID, i)
 			return
 		}
-		b.host.Timer(overtakenWaitFactor*(b.now-a.sentAt), uint64(r.ID)<<8|uint64(i+1))
+		b.host.Timer(overtakenWaitFactor*(b.now-a.sentAt), stallToken(r, i))
 		return
 	}
 	if !r.mayFetch {
--- a/decide/state.go
+++ b/decide/state.go
@@ -70,6 +70,7 @@
 	trafficShare   float64       // estimated share of all traffic that this router handles
 	watchAt        float64       // when to ask for the list again
 	listFailures   int           // consecutive failed calls for the list
+	lateAt, lateBy float64       // when this router itself was last late, and by how many ms; 0 = never
 }
 
 // perSecond returns a rate per second, corrected for a window that is not filled yet.
@@ -174,6 +175,7 @@
 type attempt struct {
 	server           *server
 	sentAt           float64
+	extendedAt       float64 // when the patience with it was extended last; 0 = never
 	begunAt          float64 // when its answer began, before it was whole; 0 = it has not
 	done, mayHaveRun bool    // its outcome is known; may have run
 	wasOvertaken     bool    // was past its patience when later ones had been answered
@@ -466,8 +468,6 @@
 	return k
 }
 
-// hottestKeys decays all rates to the present, forgets faded keys and the shares of the others, and returns
-// the hottest of them in order. It is a single pass without allocations per key: requests wait for it, and
 // maxEvictionSamples is how many records are compared for the eviction of one.
 const maxEvictionSamples = 8
 
@@ -494,6 +494,8 @@
 	b.keys[k.id], b.keyList[coldest] = k, k
 }
 
+// hottestKeys decays all rates to the present, forgets faded keys and the shares of the others, and returns
+// the hottest of them in order. It is a single pass without allocations per key: requests wait for it, and
 // there are hundreds of thousands of keys.
 func (b *Balancer) hottestKeys() []*keyTraffic {
 	memory, top := b.keyMemory(), make([]*keyTraffic, 0, maxHotKeys+1)
--- a/internal/engine/counts.go
+++ b/internal/engine/counts.go
@@ -31,6 +31,7 @@
 	// Checks, preventions and violations of each rule; sorted by rule.
 	Rules    []guard.Count
 	Arrivals decide.Demand // arrivals by worth; empty where routers don't exchange any
+	Waits    WaitCounts    // of events for the engines' turns
 }
 
 // Add adds the counts of another engine.
@@ -38,6 +39,7 @@
 	c.Attempts, c.Open = c.Attempts+other.Attempts, c.Open+other.Open
 	c.KnownServers, c.AvoidedServers = c.KnownServers+other.KnownServers, c.AvoidedServers+other.AvoidedServers
 	c.Arrivals.Add(other.Arrivals)
+	c.Waits.Add(other.Waits)
 	for i, rule := range other.Rules {
 		if i == len(c.Rules) {
 			c.Rules = append(slices.Clip(c.Rules), guard.Count{Rule: rule.Rule})
@@ -125,7 +127,7 @@
 	if c == nil {
 		return
 	}
-	counts := &Counts{Attempts: c.attempts.Load(), Open: len(e.openByID) + e.streaming, Arrivals: e.balancer.Demand()}
+	counts := &Counts{Attempts: c.attempts.Load(), Open: len(e.openByID) + e.streaming, Arrivals: e.balancer.Demand(), Waits: e.waits}
 	counts.KnownServers, counts.AvoidedServers = e.balancer.ServerCounts()
 	if e.reportRules {
 		counts.Rules = e.Guard.Counts()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -67,6 +67,8 @@
 	streaming     int                       // streamed values on their way to clients
 	Guard         *guard.Guard              // counts checks and violations of invariants; not nil after New
 	reportRules   bool                      // the guard's counts are part of this engine's counts
+	waits         WaitCounts                // of events for their turn
+	waitLoggedAt  float64                   // when a long wait was last logged
 }
 
 // server is the engine's record of a listed server.
@@ -292,7 +294,11 @@
 		case <-alarm.C:
 			armed = math.Inf(1)
 		}
-		for i, event := range e.events.take() {
+		batch := e.events.take()
+		if len(batch) > 0 {
+			e.noteWait(e.events.lastWait)
+		}
+		for i, event := range batch {
 			if event(); len(e.deferred) > 0 {
 				e.runDeferred()
 			}
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -1,6 +1,9 @@
 package engine
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // maxEvents limits the queued events. A poster blocks while the queue is full. Posters are the readers of
 // clients and servers, each of which has few events at a time.
@@ -14,7 +17,9 @@
 	mu        *sync.Mutex
 	notFull   *sync.Cond
 	queue     []func()
-	lastBatch []func() // memory of the previous batch, reused for the next
+	queuedAt  time.Time     // when the oldest event in the queue came; valid while there is one
+	lastWait  time.Duration // of the oldest event that take has returned last; the taker's
+	lastBatch []func()      // memory of the previous batch, reused for the next
 	ended     bool
 }
 
@@ -46,6 +51,9 @@
 	}
 	e.queue = append(e.queue, event)
 	first := len(e.queue) == 1
+	if first {
+		e.queuedAt = time.Now()
+	}
 	e.mu.Unlock()
 	if first {
 		select {
@@ -59,6 +67,9 @@
 func (e *events) take() []func() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(e.queue) > 0 {
+		e.lastWait = time.Since(e.queuedAt)
+	}
 	clear(e.lastBatch) // already processed: releases what the events refer to
 	batch := e.queue
 	e.queue, e.lastBatch = e.lastBatch[:0], batch
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -44,7 +44,7 @@
 		}
 	}
 	var out bytes.Buffer
-	for _, f := range []*dto.MetricFamily{served, refused, failed, attempts, checked, prevented, broken,
+	for _, f := range []*dto.MetricFamily{served, refused, failed, attempts, checked, prevented, broken, waitFamily(c.Waits),
 		newGauge("in_progress", "Requests taken and not ended.", c.Open),
 		newGauge("known_cache_servers", "Cache servers on the list.", c.KnownServers),
 		newGauge("skipped_cache_servers", "Listed cache servers that requests are kept from now.", c.AvoidedServers),
@@ -61,6 +61,22 @@
 	return &dto.MetricFamily{Name: new(metricPrefix + name), Help: &help, Type: &kind}
 }
 
+// waitFamily returns the histogram of the waits of events for the engines' turns.
+func waitFamily(w engine.WaitCounts) *dto.MetricFamily {
+	f := newFamily("event_wait_seconds", "How long events have waited for the router's own turn, by batch.", dto.MetricType_HISTOGRAM)
+	h := &dto.Histogram{SampleSum: new(w.Total.Seconds())}
+	var count uint64
+	for i, bound := range engine.WaitBounds {
+		count += w.Batches[i]
+		h.Bucket = append(h.Bucket, &dto.Bucket{CumulativeCount: new(count), UpperBound: new(bound.Seconds())})
+	}
+	if count += w.Batches[len(engine.WaitBounds)]; count > 0 {
+		h.SampleCount = &count
+		f.Metric = []*dto.Metric{{Histogram: h}}
+	}
+	return f
+}
+
 // newGauge returns a gauge family that holds the single sample n.
 func newGauge(name, help string, n int) *dto.MetricFamily {
 	f := newFamily(name, help, dto.MetricType_GAUGE)
