Fronts: a client that reads its answers slowly is cut off only when it takes nothing more

What callers would have seen: a client that takes over 5 s for the answers that were ready together (up to 16 values of 64 KB) lost its connection, and with it all its open requests, while it was reading. Cause: one write deadline of 5 s for all buffers of a write. Now a write that made progress within 5 s goes on; one that made none ends the connection, as before. Found by reading related code; no report shows it.

--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -183,11 +185,10 @@
 // writeAnswers writes answers until none is ready.
 func (c *clientConn) writeAnswers(out net.Buffers) {
 	for len(out) > 0 {
-		c.SetWriteDeadline(time.Now().Add(answerWriteTimeout))
-		_, err := out.WriteTo(c.Conn)
+		err := writeWithProgress(c.Conn, &out, answerWriteTimeout)
 		for end := time.Now().Add(bufferRetryTimeout); sock.IsOutOfBuffers(err) && time.Now().Before(end); {
 			time.Sleep(bufferRetryInterval)
-			_, err = out.WriteTo(c.Conn)
+			err = writeWithProgress(c.Conn, &out, answerWriteTimeout)
 		}
 		if pending := c.streaming; pending != nil { // used only by the writer
 			c.streaming = nil
@@ -197,6 +198,18 @@
 	}
 }
 
+// writeWithProgress writes buffers, however long that takes, as long as some of it is written in each span of
+// the given length.
+func writeWithProgress(c net.Conn, out *net.Buffers, span time.Duration) error {
+	for {
+		c.SetWriteDeadline(time.Now().Add(span))
+		n, err := out.WriteTo(c)
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+}
+
 // streamTerminator ends an answer with a long value. If it is missing, the client can tell that the value
 // is incomplete.
 var streamTerminator = []byte("\r\n")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,7 +34,7 @@
 	valueTimePerByte = 4 * time.Microsecond
 	// Minimum idle time of a connection that countActive may evict: one that was answered just now is kept.
 	minRestTime        = 100 * time.Millisecond
-	answerWriteTimeout = 5 * time.Second        // for each write of answers to a client
+	answerWriteTimeout = 5 * time.Second        // for a client to take more of its answers
 	lingerTime         = 500 * time.Millisecond // for a client to close its side after it was rejected
 	lingerBytes        = 256 << 10              // input read and discarded during lingerTime
 	// Delay before a throttled sender is answered. It costs only a connection slot, which can be reclaimed.
