Engine: an unsafe request that may have run does not run again when its id comes again

Cause: the ids of requests were known only while these were open. A client that leaves ends its request, while the server may run it; the id was free at once, and another process of the router never knew it. One that comes again meanwhile is answered as failed, and no attempt is made. Routers with a configuration of their own, whose hand-over tells other things on the same way, don't share them yet.

--- a/internal/engine/checks.go
+++ b/internal/engine/checks.go
@@ -49,6 +49,9 @@
 		return Try{}, false
 	}
 	a.checkEarlierAttempts()
+	if a.request.class.Effect != decide.Repeatable {
+		a.engine.unsafe.Add(a.request.ID)
+	}
 	remaining := a.request.deadline - now
 	sendTime := min(maxSendShare*remaining, sendTimePerByte*float64(len(a.request.Value)))
 	wallNow := time.Now()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,6 +60,7 @@
 	store         Store                     // nil = the router does not store fetched values
 	tenants       TenantLimiter             // nil = tenants are not tracked
 	ids           *RequestIDs               // nil = this engine shares request IDs with no other
+	unsafe        *UnsafeIDs                // of requests that must not run again
 	originKind    string                    // kind of the origin in server lists
 	counter       *counter                  // nil = no counts are published
 	traceRequests bool                      // every request is logged
@@ -150,6 +151,7 @@
 	Tenants        TenantLimiter // nil = tenants have no limits except the quotas of Config
 	// Request IDs shared by all engines of the pool; nil = this engine is the only one.
 	IDs           *RequestIDs
+	Unsafe        *UnsafeIDs   // shared by all engines of the pool; nil = the engine creates its own
 	CollectCounts bool         // publish counts
 	Guard         *guard.Guard // nil = the engine creates its own
 	// Include the guard's counts in this engine's counts: set for one of the engines that share a guard.
@@ -168,6 +170,9 @@
 		e.Guard = &guard.Guard{}
 	}
 	e.reportRules = o.ReportRules
+	if e.unsafe = o.Unsafe; e.unsafe == nil {
+		e.unsafe = NewUnsafeIDs()
+	}
 	e.SetAdmission(admitAll{})
 	if o.CollectCounts {
 		e.counter = &counter{classes: map[string]*ClassCounts{}, timer: timer{kind: countsPublication}}
@@ -405,6 +410,13 @@
 		e.rejectOnArrival(q, handle)
 		return
 	}
+	if !e.mayRun(q, class) {
+		e.ids.release(q.ID)
+		e.HeldBytes.Release(q.HeldBytes)
+		e.countAnswer(q.Class, Failed)
+		handle.OnAnswer(q, Answer{Result: Failed, NeverSent: true})
+		return
+	}
 	for e.lastID++; e.requests[e.lastID] != nil; e.lastID++ { // IDs are reused after 2^32 requests
 	}
 	remaining := max(0, answerBy-now)
@@ -466,6 +478,7 @@
 		e.checkAnswerTime(r)
 	}
 	e.traceAnswered(r, answer)
+	e.forgetAnswered(r, answer.Result)
 	switch {
 	case answer.Streamed != nil:
 		e.streaming++
--- a/internal/fleettest/soak/process.go
+++ b/internal/fleettest/soak/process.go
@@ -71,6 +71,7 @@
 	addr     string
 	pid      int
 	operator string // address of the operators' calls
+	private  string // its folder for temporary files, where a successor finds it
 
 	mu        sync.Mutex
 	lines     []string
@@ -90,6 +91,16 @@
 
 // startProcess starts the program and waits until it listens.
 func startProcess(program, dir, name, discovery string, s settings, me int) (*process, error) {
+	// No process takes over from another's socket here. The path of a socket has to be short.
+	private, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	return startProcessIn(private, program, dir, name, discovery, s, me)
+}
+
+// startProcessIn is startProcess with a folder for temporary files: the process takes over from one that has the same.
+func startProcessIn(private, program, dir, name, discovery string, s settings, me int) (*process, error) {
 	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", 0x8c1f30d27a5be964+uint64(me)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 512}, "known": map[string]any{"version": 0, "full": true, "servers": []any{}}, "settings": s.object(me)})
 	if err != nil {
@@ -100,23 +111,21 @@
 		return nil, fmt.Errorf("soak: %w", err)
 	}
 	cmd := exec.Command(program)
-	private, err := os.MkdirTemp(dir, name) // no process takes over from another's socket here
-	if err != nil {
-		return nil, fmt.Errorf("soak: %w", err)
-	}
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+private)
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
 	}
 	if err := cmd.Start(); err != nil {
+		os.RemoveAll(private)
 		return nil, fmt.Errorf("soak: %w", err)
 	}
-	p := &process{name: name, cmd: cmd, pid: cmd.Process.Pid, listening: make(chan struct{}), ended: make(chan struct{})}
+	p := &process{name: name, private: private, cmd: cmd, pid: cmd.Process.Pid, listening: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
 		p.follow(log)
 		p.err = cmd.Wait()
+		os.RemoveAll(private)
 	}()
 	select {
 	case <-p.listening:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,7 @@
 	Control *Control                                 // how operators reach the pool; nil = they don't
 	Elder   <-chan struct{}                          // closed when the process that this one takes over from is gone; nil = clients are taken at once
 	Part    float64                                  // of the limits that may be used at first: another process of the router lives; 0 = all
+	Unsafe  *engine.UnsafeIDs                        // requests that must not run again, shared with another process; nil = with none
 	Handed  []engine.HandoverState                   // what its engines have handed over; others than these engines would have are not taken
 }
 
@@ -264,9 +265,10 @@
 
 // share is what one engine of a pool has of it. To the module each engine is one more router of the tier.
 type share struct {
-	i, n  int
-	ids   *engine.RequestIDs // nil = it is alone
-	store engine.Store       // nil = none
+	i, n   int
+	ids    *engine.RequestIDs // nil = it is alone
+	unsafe *engine.UnsafeIDs
+	store  engine.Store // nil = none
 }
 
 // alone is the share of a pool's only engine.
@@ -274,7 +276,10 @@
 
 // shared is what the engines of a pool have in common.
 func (s Setup) shared(n int) share {
-	out := share{n: n, store: s.store()}
+	out := share{n: n, store: s.store(), unsafe: s.Unsafe}
+	if out.unsafe == nil {
+		out.unsafe = engine.NewUnsafeIDs()
+	}
 	if n > 1 {
 		out.ids = engine.NewRequestIDs()
 	}
@@ -294,7 +299,7 @@
 	// A value is in memory up to three times, as it came and as it goes out.
 	memory := cfg.Limits.MemoryMB << 20 / int64(s.n)
 	m.MaxKeys = int(max(1, memory/8/decide.KeyBytes))
-	return engine.New(engine.Options{Config: m, Store: s.store, CollectCounts: cfg.Control != nil, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Guard: cfg.guard, ReportRules: s.i == 0, Seed: cfg.SeedNumber + uint64(s.i), MaxHeldBytes: memory / 16,
+	return engine.New(engine.Options{Config: m, Store: s.store, CollectCounts: cfg.Control != nil, Tenants: newLimits(cfg, memory/8), IDs: s.ids, Unsafe: s.unsafe, Guard: cfg.guard, ReportRules: s.i == 0, Seed: cfg.SeedNumber + uint64(s.i), MaxHeldBytes: memory / 16,
 		MaxQueuedBytes: memory / 8, InferStarts: cfg.Source.Path != "" || cfg.RESP != nil}, b)
 }
 
--- a/internal/service/platform.go
+++ b/internal/service/platform.go
@@ -36,7 +36,7 @@
 		return fmt.Errorf("operator: %w", err)
 	}
 	slog.Info("operators' calls", "addr", calls.Addr().String())
-	setup.Control = router.NewControl(1)
+	setup.Control, setup.Unsafe = router.NewControl(1), engine.NewUnsafeIDs()
 	cfg.Limits.Sockets -= config.OperatorReserve
 	defer operate(calls, setup.Control, nil)()
 	path := handover.SocketPath(os.TempDir(), cfg.Listen)
@@ -51,7 +51,10 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	wg.Go(func() { succeed(life, path, cfg.Listen, ln, setup.Control, taken) })
+	if taken != nil {
+		wg.Go(func() { importUnsafe(taken.Updates(), setup.Unsafe) }) // ends with the old process, or as taken is closed
+	}
+	wg.Go(func() { succeed(life, path, cfg.Listen, ln, elder{setup.Control, setup.Unsafe}, taken) })
 	return router.Serve(ctx, setup, ln, updates)
 }
 
@@ -97,7 +100,7 @@
 
 // succeed tells the old process, if there is one, that this one takes clients as soon as it does, has all room once that one is gone, and
 // gives way to the next one that comes, until ctx ends.
-func succeed(ctx context.Context, path, listen string, ln net.Listener, c *router.Control, taken *handover.Takeover) {
+func succeed(ctx context.Context, path, listen string, ln net.Listener, c elder, taken *handover.Takeover) {
 	if c.ServesWithin(ctx) != nil {
 		if taken != nil {
 			taken.Close()
@@ -109,14 +112,14 @@
 	if taken != nil {
 		wg.Go(func() {
 			defer taken.Close()
-			outlive(ctx, c, taken)
+			outlive(ctx, c.Control, taken)
 		})
 	}
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
 		return
 	}
-	if err := handover.Serve(ctx, path, listen, []syscall.Conn{sc}, elder{c}); err != nil {
+	if err := handover.Serve(ctx, path, listen, []syscall.Conn{sc}, c); err != nil {
 		slog.Warn("handover: nobody can take over from this process", "why", err)
 	}
 }
@@ -138,7 +141,46 @@
 }
 
 // elder is this process as one that may be taken over from.
-type elder struct{ *router.Control }
+type elder struct {
+	*router.Control
+	unsafe *engine.UnsafeIDs
+}
+
+// unsafeUpdate tells another process which requests must not run again.
+type unsafeUpdate struct {
+	IDs []string `json:"unsafe"`
+}
+
+// exportUnsafe sends the requests that must not run again, now and after each change, until ctx ends.
+func exportUnsafe(ctx context.Context, ids *engine.UnsafeIDs, send func([]byte) error) {
+	for {
+		body, err := json.Marshal(unsafeUpdate{ids.All()})
+		if err == nil {
+			err = send(body)
+		}
+		if err != nil {
+			slog.Warn("handover: the ids of unsafe requests are not sent any more", "why", err)
+			return
+		}
+		select {
+		case <-ids.Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// importUnsafe takes the requests of the old process that must not run again, until that ends.
+func importUnsafe(updates <-chan []byte, ids *engine.UnsafeIDs) {
+	for body := range updates {
+		var update unsafeUpdate
+		if err := json.Unmarshal(body, &update); err != nil {
+			slog.Warn("handover: the ids of unsafe requests are not taken", "why", err)
+			continue
+		}
+		ids.Add(update.IDs...)
+	}
+}
 
 // Yield is handover.Predecessor's.
 func (e elder) Yield(ctx context.Context) (g handover.Grant, err error) {
@@ -149,6 +191,7 @@
 		slog.Warn("handover: what was learned can't be said", "err", err)
 		g.LearnedState = nil
 	}
+	g.StreamUpdates = func(ctx context.Context, send func([]byte) error) { exportUnsafe(ctx, e.unsafe, send) }
 	return g, nil
 }
 
