Deadlines: what a server is passed allows for its reading a large request slowly

Cause: the deadline is sent ahead of the value, and the time until the server has it was taken as 1 microsecond a byte; what lies in the system's buffers is written for the router. Change: 16 microseconds a byte, up to half of what is left, as before. Values of up to 1 KB lose 16 ms of what they are passed at most.

--- a/internal/engine/checks.go
+++ b/internal/engine/checks.go
@@ -18,9 +18,9 @@
 	// writeSlack is the part of deadlineSlack within which the last byte must be written. The rest allows for
 	// a process that is suspended before it writes the first byte.
 	writeSlack = deadlineSlack / 2
-	// sendTimePerByte is the assumed time to transmit one byte of a value; the deadline is sent ahead of the
-	// value.
-	sendTimePerByte = 0.001
+	// sendTimePerByte is the assumed time until a server has read one byte of a value: the deadline is sent ahead
+	// of the value, and what lies in the server's own buffers can't be seen.
+	sendTimePerByte = 0.016
 	// maxSendShare is the largest share of the remaining time that is allowed for transmitting a long value.
 	maxSendShare = 0.5
 	// maxProcessPause is how long a process may be suspended between reading its clock and a write.
--- a/internal/fleettest/soak/client.go
+++ b/internal/fleettest/soak/client.go
@@ -93,7 +93,8 @@
 	if r.Class.Effect == Repeatable || r.Class.Read {
 		return fmt.Sprintf("mg %s v O%s P%s\r\n", r.Key, r.ID, facts)
 	}
-	return fmt.Sprintf("ms %s 5 O%s P%s,k=%s\r\nvalue\r\n", r.Key, r.ID, facts, r.ID)
+	value := paddedValue("value", r.Length)
+	return fmt.Sprintf("ms %s %d O%s P%s,k=%s\r\n%s\r\n", r.Key, len(value), r.ID, facts, r.ID, value)
 }
 
 // conn gives an idle connection, or opens one.
--- a/internal/fleettest/soak/ledger.go
+++ b/internal/fleettest/soak/ledger.go
@@ -64,6 +64,7 @@
 	Router  int
 	Sent    time.Time // when its last byte was written for the first time
 	Wait    time.Duration
+	Length  int           // of the value of a write; 0 = a short one
 	Left    time.Time     // when the client closed its connection; zero = it did not
 	Excused bool          // its router was killed by us while it could still be answered
 	NewConn bool          // it was the first request of its connection
--- a/internal/fleettest/soak/origin.go
+++ b/internal/fleettest/soak/origin.go
@@ -25,9 +25,11 @@
 	repeats repeats // Twice
 	pace    *pace   // of SlowBody and LateBody; nil = drawn for each answer
 	form    string  // of their answers; empty = drawn
-	ln      *listener
-	conns   map[*net.TCPConn]struct{}
-	wg      sync.WaitGroup
+	// How long the bodies of requests take to be read; 0 = as they come.
+	readTime time.Duration
+	ln       *listener
+	conns    map[*net.TCPConn]struct{}
+	wg       sync.WaitGroup
 }
 
 // originID is the origin's name in records.
@@ -71,6 +73,9 @@
 			return
 		}
 		o.mu.Lock()
+		if o.readTime > 0 {
+			c.SetReadBuffer(slowReadBuffer) //nolint:errcheck // it reads faster without
+		}
 		if o.conns == nil {
 			reset(c)
 		} else {
@@ -138,7 +143,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if err := o.readBody(r); err != nil {
 			return
 		}
 		got := originRequest{Request: r, first: first}
@@ -157,6 +162,28 @@
 	}
 }
 
+// slowReadBuffer is the system's buffer for requests that are read slowly, in bytes.
+const slowReadBuffer = 4 << 10
+
+// readBody reads the body of a request, in the time that this takes.
+func (o *origin) readBody(r *http.Request) error {
+	o.mu.Lock()
+	readTime := o.readTime
+	o.mu.Unlock()
+	if readTime == 0 || r.ContentLength == 0 {
+		_, err := io.Copy(io.Discard, r.Body)
+		return err
+	}
+	part := r.ContentLength/slowParts + 1
+	for left := r.ContentLength; left > 0; left -= part {
+		time.Sleep(readTime / slowParts)
+		if _, err := io.CopyN(io.Discard, r.Body, min(part, left)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // answer answers GET /KEY, PUT /KEY and the probes.
 func (o *origin) answer(ctx context.Context, c *servedConn, r originRequest) {
 	a := r.attempt
