--- /dev/null
+++ b/internal/fleettest/soak/comeagain.go
@@ -0,0 +1,51 @@
+package soak
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	comeAgainNumber   = 5                      // requests that come again in one fault
+	comeAgainInterval = 200 * time.Millisecond // between them
+	leaveAfter        = 60 * time.Millisecond  // when their clients leave
+)
+
+// comeAgain has unsafe requests come again with their ids, after their clients have left without an answer.
+func (w *world) comeAgain(ctx context.Context, f Fault) {
+	g := w.groups[f.Target]
+	for range comeAgainNumber {
+		r := g.write()
+		if c := g.send(true, r); c != nil {
+			waited(ctx, leaveAfter)
+			c.leave()
+			w.sendAgain(ctx, g, r)
+		}
+		if !waited(ctx, comeAgainInterval) {
+			return
+		}
+	}
+}
+
+// sendAgain sends a request once more, unless it was answered before its client left.
+func (w *world) sendAgain(ctx context.Context, g *clientGroup, r *Request) {
+	if !waited(ctx, leaveAfter) {
+		return
+	}
+	left := false
+	w.ledger.update(func() {
+		if left = !r.Left.IsZero(); left {
+			r.Left = time.Time{} // another client has come
+			w.ledger.cameAgain++
+		}
+	})
+	if !left {
+		return
+	}
+	c, err := g.conn(true)
+	if err != nil {
+		w.ledger.update(func() { r.Excused = true }) // it was not sent again
+		return
+	}
+	c.write(r)
+}
--- a/internal/fleettest/soak/ledger.go
+++ b/internal/fleettest/soak/ledger.go
@@ -90,6 +90,7 @@
 	drained  int // drains so far
 	// emptyChecks is how often it was checked that a router out of service was empty.
 	emptyChecks int
+	cameAgain   int // requests that came again after their clients had left
 	draining    []Violation
 	lateness    Lateness
 }
--- a/internal/fleettest/soak/loudclient.go
+++ b/internal/fleettest/soak/loudclient.go
@@ -29,6 +29,19 @@
 // loudKinds lists all kinds of loud clients.
 var loudKinds = []LoudKind{LoudPing, LoudPipeline, LoudUnsound, LoudNames, LoudReads, LoudRejected, LoudConnects}
 
+// serverlessKinds are those whose commands need no server.
+var serverlessKinds = []LoudKind{LoudPing, LoudPipeline, LoudUnsound, LoudRejected, LoudConnects}
+
+// loudNumber is how many loud clients come at once in a play.
+const loudNumber = 6
+
+// loud has loud clients send to a router for a while.
+func (w *world) loud(ctx context.Context, f Fault, p *process) {
+	ctx, stop := context.WithTimeout(ctx, f.For)
+	defer stop()
+	startLoud(ctx, p, f.Loud, loudNumber).wg.Wait()
+}
+
 // rejectedBytes is the length of the values of LoudRejected.
 const rejectedBytes = 60000
 
--- a/internal/fleettest/soak/plan.go
+++ b/internal/fleettest/soak/plan.go
@@ -28,6 +28,8 @@
 	Crash         Kind = "crash"         // a router is killed, and another takes its place
 	Crowd         Kind = "crowd"         // idle clients fill the descriptors of a router
 	HalfRequests  Kind = "half-requests" // clients stop in the middle of a request and stay
+	LoudClients   Kind = "loud"          // clients send commands that need no server at full speed
+	ComeAgain     Kind = "come-again"    // unsafe requests come again with their ids after their clients have left
 	// Operators take a router out of service while some of its connections are never idle, and later put it
 	// back into service or end it.
 	OutOfService Kind = "out-of-service"
@@ -42,10 +44,11 @@
 	Mode   Mode // CacheMode, OriginMode; OutOfService: that of the origin meanwhile
 	// OutOfService: the router is told to end instead of going back into service.
 	Drained bool
+	Loud    LoudKind // LoudClients: what they send
 }
 
 func (f Fault) String() string {
-	return fmt.Sprintf("%v %s %d %s for %v", f.At.Round(time.Millisecond), f.Kind, f.Target, f.Mode, f.For.Round(time.Millisecond))
+	return fmt.Sprintf("%v %s %d %s%s for %v", f.At.Round(time.Millisecond), f.Kind, f.Target, f.Mode, f.Loud, f.For.Round(time.Millisecond))
 }
 
 // Plan is one play, drawn from a seed.
@@ -67,8 +70,8 @@
 }
 
 var (
-	cacheModes  = []Mode{Slow, Hang, Cut, Reset, Busy, Fail, Spoil, Twice, Twice, Unsolicited, Stall}
-	originModes = []Mode{Slow, Hang, Cut, Reset, Busy, Fail, Endless, Twice, Twice, Stall}
+	cacheModes  = []Mode{Slow, Hang, Cut, Reset, Busy, Fail, Spoil, Twice, Twice, Unsolicited, Stall, SlowBody, SlowBody, LateBody}
+	originModes = []Mode{Slow, Hang, Cut, Reset, Busy, Fail, Endless, Twice, Twice, Stall, SlowBody, LateBody}
 	drainModes  = []Mode{Normal, Slow, Hang, Hang}
 )
 
@@ -82,7 +85,7 @@
 		kind Kind
 		per  float64 // faults in ten seconds
 	}{{CacheMode, 14}, {OriginMode, 4}, {CacheTwice, 6}, {OriginTwice, 2}, {CacheDown, 2}, {CloseIdle, 2}, {DrainServer, 2}, {DiscoveryDown, 1}, {HoldUp, 8}, {Reload, 2},
-		{Terminate, 2}, {SignalSeries, 1}, {Crash, 1}, {Crowd, 0.5}, {HalfRequests, 1}, {OutOfService, 2}} {
+		{Terminate, 2}, {SignalSeries, 1}, {Crash, 1}, {Crowd, 0.5}, {HalfRequests, 1}, {OutOfService, 2}, {LoudClients, 3}, {ComeAgain, 3}} {
 		n := k.per * size.Length.Seconds() / 10
 		for range int(n + rng.Float64()) {
 			p.Faults = append(p.Faults, p.drawFault(rng, k.kind))
@@ -122,6 +125,8 @@
 		f.Mode, f.For = Twice, time.Duration(1000+rng.IntN(3000))*time.Millisecond
 	case HoldUp:
 		f.Target, f.For = rng.IntN(p.Routers), time.Duration(60+rng.IntN(91))*time.Millisecond
+	case LoudClients:
+		f.Target, f.Loud = rng.IntN(p.Routers), serverlessKinds[rng.IntN(len(serverlessKinds))]
 	case OutOfService:
 		f.Target, f.Drained, f.Mode = rng.IntN(p.Routers), rng.IntN(3) == 0, drainModes[rng.IntN(len(drainModes))]
 	default:
--- a/internal/fleettest/soak/play.go
+++ b/internal/fleettest/soak/play.go
@@ -349,6 +349,10 @@
 		w.halfRequests(ctx, p)
 	case OutOfService:
 		w.takeOutOfService(ctx, f, p)
+	case LoudClients:
+		w.loud(ctx, f, p)
+	case ComeAgain:
+		w.comeAgain(ctx, f)
 	default:
 		w.replace(ctx, f, p)
 	}
--- a/internal/fleettest/soak/soak_test.go
+++ b/internal/fleettest/soak/soak_test.go
@@ -71,7 +71,7 @@
 			total[rule] += n
 		}
 	}
-	for _, rule := range []Invariant{Deadline, Answer, Abandoned, Overlap, Drain, SlowStart, Promise, Process, SelfCheck, Empty} {
+	for _, rule := range []Invariant{Deadline, Answer, Abandoned, Overlap, Drain, SlowStart, Promise, Process, SelfCheck, Empty, CutOff} {
 		if total[rule] == 0 {
 			t.Errorf("no play has exercised %s", rule)
 		}
