RESP: what half a command holds is counted as memory, and given up behind it

The meta protocol reserves a value ahead of reading it. Change: arguments beyond 4 KB reserve their bytes from the memory for values as they are read; where there is none the command is read to its end and rejected as not run. A long buffer is given up behind its command.

--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -115,9 +115,16 @@
 
 // Read reads a command and answers it or turns it into a request.
 func (s *session) Read(in *bufio.Reader, e *engine.Engine, _ func() bool) (front.Command, error) {
+	if s.cmd.Reserve == nil {
+		s.cmd.Reserve, s.cmd.Return = e.ReserveValue, e.HeldBytes.Release
+	}
+	defer s.cmd.Release()
 	if err := resp.NewReader(in).ReadCommand(&s.cmd); err != nil {
 		return front.Command{}, err
 	}
+	if s.cmd.Discarded { // many long commands at once must not exhaust memory
+		return textReply(refusedReply(0)), nil
+	}
 	args := s.cmd.Args
 	if len(args) == 0 {
 		return front.Command{}, nil
--- a/internal/proto/resp/resp.go
+++ b/internal/proto/resp/resp.go
@@ -31,11 +31,46 @@
 }
 
 // Command is one command. Its arguments are valid until the next ReadCommand into the same Command, which
-// reuses their memory.
+// reuses their memory, or Release.
 type Command struct {
 	Args [][]byte
-	buf  []byte
-	ends []int
+	// Reserve takes n bytes for a long command while it is read and reports whether they are available; Return gives
+	// them back. nil = there is no limit.
+	Reserve func(n int) bool
+	Return  func(n int)
+	// Discarded reports that there was no memory for the arguments: they were read and not kept.
+	Discarded bool
+
+	buf      []byte
+	ends     []int
+	reserved int
+}
+
+// freeBytes are the bytes of arguments for which a command needs no reservation.
+const freeBytes = 4096
+
+// Release gives the memory of a long command back.
+func (c *Command) Release() {
+	if c.reserved > 0 {
+		c.Return(c.reserved)
+		c.reserved = 0
+	}
+	if cap(c.buf) > 2*freeBytes {
+		c.Args, c.buf = nil, nil
+	}
+}
+
+// makeRoom reserves memory for n more bytes of arguments, or has the command discarded.
+func (c *Command) makeRoom(n int) {
+	if c.Discarded || c.Reserve == nil || len(c.buf)+n <= freeBytes {
+		return
+	}
+	if !c.Reserve(n) {
+		c.Release()
+		c.Args, c.buf, c.ends, c.Discarded = c.Args[:0], c.buf[:0], c.ends[:0], true
+		return
+	}
+	c.reserved += n
 }
 
 // Reader reads commands or replies. The buffer of in limits the length of lines and must hold MaxLine bytes.
@@ -87,7 +122,7 @@
 // ReadCommand reads a command, either an array of strings or an inline command, into c. An empty command has
 // no arguments. It allocates only if c has not held a command of that size before.
 func (r Reader) ReadCommand(c *Command) error {
-	c.Args, c.buf, c.ends = c.Args[:0], c.buf[:0], c.ends[:0]
+	c.Args, c.buf, c.ends, c.Discarded = c.Args[:0], c.buf[:0], c.ends[:0], false
 	first, err := r.in.Peek(1)
 	if err != nil {
 		return err
@@ -141,6 +176,10 @@
 	if start+n > MaxCommand {
 		return protocolError("a command of over %d bytes", MaxCommand)
 	}
+	if c.makeRoom(n); c.Discarded {
+		_, err = r.in.Discard(n + len("\r\n"))
+		return unexpectedEOF(err)
+	}
 	if c.buf, err = r.readBulk(c.buf, n); err != nil {
 		return err
 	}
