--- a/internal/fleettest/soak/cacheserver.go
+++ b/internal/fleettest/soak/cacheserver.go
@@ -109,8 +109,12 @@
 )
 
 func startCacheServer(l *Ledger, id string, seed uint64) (*cacheServer, error) {
+	return startCacheServerAt(l, id, "127.0.0.1:0", seed)
+}
+
+func startCacheServerAt(l *Ledger, id, addr string, seed uint64) (*cacheServer, error) {
 	s := &cacheServer{id: id, ledger: l, hits: 0.8, repeats: usualRepeats, share: 1, mode: Normal, rng: rand.New(rand.NewPCG(seed, 7)), conns: map[*servedConn]struct{}{}}
-	return s, s.listen("127.0.0.1:0")
+	return s, s.listen(addr)
 }
 
 func (s *cacheServer) listen(addr string) error {
--- a/internal/fleettest/soak/leave_test.go
+++ b/internal/fleettest/soak/leave_test.go
@@ -90,7 +90,7 @@
 func (w *world) upgrade(t *testing.T, old *process) *process {
 	t.Helper()
 	name := fmt.Sprintf("%s-next", old.name)
-	p, err := startProcessIn(old.private, w.program, w.dir, name, w.directory.Listener.Addr().String(), w.plan.settings, 0)
+	p, err := startProcessIn(old.private, "127.0.0.1:0", w.program, w.dir, name, w.directory.Listener.Addr().String(), w.plan.settings, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleettest/soak/process.go
+++ b/internal/fleettest/soak/process.go
@@ -96,12 +96,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
 	}
-	return startProcessIn(private, program, dir, name, discovery, s, me)
+	return startProcessIn(private, "127.0.0.1:0", program, dir, name, discovery, s, me)
 }
 
-// startProcessIn is startProcess with a folder for temporary files: the process takes over from one that has the same.
-func startProcessIn(private, program, dir, name, discovery string, s settings, me int) (*process, error) {
-	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", 0x8c1f30d27a5be964+uint64(me)),
+// startProcessIn is startProcess with an address for clients and a folder for temporary files: the process takes over
+// from one that has the same.
+func startProcessIn(private, listen, program, dir, name, discovery string, s settings, me int) (*process, error) {
+	text, err := json.Marshal(map[string]any{"name": name, "listen": listen, "operator": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", 0x8c1f30d27a5be964+uint64(me)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 512}, "known": map[string]any{"version": 0, "full": true, "servers": []any{}}, "settings": s.object(me)})
 	if err != nil {
 		return nil, fmt.Errorf("soak: %w", err)
