Discovery: a list that comes slowly is taken, as long as it goes on

What callers would have seen: a router without servers, or with old ones, as its agent writes the list over more than 250 ms (6 s where all routers share discovery). Cause: the time for the answer to a call bounded the whole list. Now it bounds the begin of the answer; of the list more has to come within 250 ms (4 s) each time, and all of it within 5 s. Found by reading related code; no report shows it.

--- a/internal/member/discovery.go
+++ b/internal/member/discovery.go
@@ -27,7 +27,8 @@
 // discoveryTiming holds the timeouts of discovery calls. A long poll without an answer looks like a list that
 // does not change: only its timeout shows that the connection is dead and that updates were lost.
 type discoveryTiming struct {
-	listTimeout   time.Duration // of a call for the full list
+	listTimeout   time.Duration // for the answer to a call for the full list to begin
+	stallTimeout  time.Duration // for the next bytes of a list
 	pollWait      time.Duration // how long discovery may hold a long poll open
 	pollSlack     time.Duration // added to pollWait for the timeout of a long poll
 	maxRetryPause time.Duration // upper limit of the pause after a failure that follows a successful call
@@ -36,18 +37,19 @@
 var (
 	// agentTiming is for an agent on the router's own machine, whose answers are immediate and cheap. Its
 	// updates must take effect within 500 ms, even one that is lost because the connection ends.
-	agentTiming = discoveryTiming{listTimeout: 250 * time.Millisecond, pollWait: 2 * time.Second, pollSlack: 250 * time.Millisecond, maxRetryPause: 50 * time.Millisecond}
+	agentTiming = discoveryTiming{listTimeout: 250 * time.Millisecond, stallTimeout: 250 * time.Millisecond, pollWait: 2 * time.Second, pollSlack: 250 * time.Millisecond, maxRetryPause: 50 * time.Millisecond}
 	// sharedTiming is for a discovery service that all routers share and that handles calls one after the
 	// other. Calls are therefore few and long, and are spread out after an outage. The service itself drops
 	// calls that have queued for too long: a client with a shorter timeout would retry at the end of the
 	// queue and make the service compute answers that nobody reads.
-	sharedTiming = discoveryTiming{listTimeout: 6 * time.Second, pollWait: 10 * time.Second, pollSlack: 4 * time.Second, maxRetryPause: 500 * time.Millisecond}
+	sharedTiming = discoveryTiming{listTimeout: 6 * time.Second, stallTimeout: 4 * time.Second, pollWait: 10 * time.Second, pollSlack: 4 * time.Second, maxRetryPause: 500 * time.Millisecond}
 )
 
 const (
 	dialTimeout     = time.Second
 	minPollInterval = 50 * time.Millisecond // pause after an immediate empty answer
 	maxListBytes    = 1 << 20               // a few thousand servers
+	maxListTime     = 5 * time.Second       // for a list to come whole once it has begun
 	maxHeaderBytes  = 64 << 10
 )
 
@@ -156,10 +158,12 @@
 	d.client.CloseIdleConnections()
 }
 
-// fetchList requests url and decodes the list in the answer.
+// fetchList requests url and decodes the list in the answer, which has to begin within timeout.
 func (d *Discovery) fetchList(ctx context.Context, url string, timeout time.Duration) (List, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	stall := time.AfterFunc(timeout, cancel)
+	defer stall.Stop()
 	var l List
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -173,7 +177,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return l, fmt.Errorf("discovery: status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	defer time.AfterFunc(maxListTime, cancel).Stop()
+	body, err := io.ReadAll(io.LimitReader(stallReader{resp.Body, stall, d.timing.stallTimeout}, maxListBytes))
 	if err == nil {
 		err = json.Unmarshal(body, &l)
 	}
@@ -182,3 +187,16 @@
 	}
 	return l, nil
 }
+
+// stallReader reads a body of which more has to come within a time after each read.
+type stallReader struct {
+	io.Reader
+	timer *time.Timer // ends the call
+	limit time.Duration
+}
+
+// Read implements io.Reader.
+func (r stallReader) Read(b []byte) (int, error) {
+	r.timer.Reset(r.limit)
+	return r.Reader.Read(b) //nolint:wrapcheck // callers wrap it
+}
