RESP: a slot map that comes slowly is taken, as long as it goes on

Now they bound connecting and each pause, and 2 s the whole. Read in related code, not played with a slow node; the tests of the package are green.

--- a/internal/backend/resp/cluster.go
+++ b/internal/backend/resp/cluster.go
@@ -17,6 +17,7 @@
 	"mossproxy.example/mossproxy/internal/member"
 	"mossproxy.example/mossproxy/internal/proto/resp"
 	"mossproxy.example/mossproxy/internal/pure/slots"
+	"mossproxy.example/mossproxy/internal/sock"
 )
 
 // Config configures the connection to a cluster.
@@ -34,8 +35,9 @@
 	knownWithin        = 450 * time.Millisecond // time within which a change of the map is known: a drain must be known within 500 ms
 	mapInterval        = time.Second            // between full maps while the epoch stays the same
 	minRefreshDelay    = 25 * time.Millisecond  // least delay of a requested refresh
-	mapTimeout         = 500 * time.Millisecond
-	refreshDelayFactor = 10 // delay of a requested refresh / duration of the last: a large map costs ms
+	mapTimeout         = 500 * time.Millisecond // for connecting, and for the next bytes of a map
+	maxMapTime         = 2 * time.Second        // for a whole map
+	refreshDelayFactor = 10                     // delay of a requested refresh / duration of the last: a large map costs ms
 	// maxNodes limits the number of servers of a cluster; maps and redirections can't add more.
 	maxNodes = 1000
 )
@@ -248,12 +250,13 @@
 
 // fetchMap fetches the slot map of one server, or returns errMapUnchanged if no new map is needed.
 func (c *Cluster) fetchMap(ctx context.Context, addr string) (m slots.Map, err error) {
-	ctx, cancel := context.WithTimeout(ctx, mapTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxMapTime)
 	defer cancel()
-	tcpConn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	dialed, err := (&net.Dialer{Timeout: mapTimeout}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return m, err
 	}
+	tcpConn := sock.StallConn{Conn: dialed, Limit: mapTimeout}
 	defer tcpConn.Close()
 	defer context.AfterFunc(ctx, func() { tcpConn.Close() })()
 	conn, err := backend.WrapTLS(ctx, tcpConn, c.cfg.TLS, addr)
