Fronts: a client that writes a large request slowly is read to its end

What callers would have seen: a connection closed in the middle of a write of 60,000 bytes that took over 2.4 s, though bytes kept coming. Cause: 2.2 s and 4 microseconds a byte bounded the whole request. Now a value has 64 microseconds a byte for its first 64 KB, and more of it has to come within 2.2 s each time, so that a client that stops is told within the 3 s that bad clients are owed. Found by reading related code; no report shows it. The memory of such values stays reserved for longer, within the same bound.

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -145,6 +145,9 @@
 // setCommandDeadline sets the read deadline for the rest of the command being read. The caller holds mu.
 func (c *clientConn) setCommandDeadline() {
 	deadline := c.commandDeadline
+	if !c.valueStall.IsZero() && c.valueStall.Before(deadline) {
+		deadline = c.valueStall
+	}
 	if until, limited := c.closing.readLimit(); limited && until.Before(deadline) {
 		deadline = until
 	}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -46,6 +46,7 @@
 	lastAnswered    time.Time // when the last answer became ready, while the connection closes
 	idleSince       time.Time // while no command is open
 	commandDeadline time.Time // for the rest of the command being read
+	valueStall      time.Time // for the next bytes of its value; zero = its value has not begun
 	flushScheduled  bool      // answers are written at the end of the engine's batch
 	// The last of the answers being written, if it ends with a long value. Used only by the writer.
 	streaming *pendingAnswer
@@ -143,7 +144,7 @@
 func (c *clientConn) beginCommand(first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading, c.commandBytes = true, 0
+	c.reading, c.commandBytes, c.valueStall = true, 0, time.Time{}
 	if c.commandDeadline = c.idleSince.Add(firstCommandTimeout); !first || c.closing.active {
 		c.commandDeadline = time.Now().Add(commandTimeout)
 		c.setCommandDeadline()
@@ -166,12 +167,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reading && !c.dropped {
-		c.commandDeadline = c.commandDeadline.Add(time.Duration(n) * valueTimePerByte)
+		c.commandDeadline = c.commandDeadline.Add(valueTime(c.commandBytes-n, n))
+		c.valueStall = time.Now().Add(commandTimeout)
 		c.setCommandDeadline()
 	}
 	return n, err //nolint:wrapcheck // callers check the type of the error
 }
 
+// valueTime returns the time that n bytes of a command may take, behind the given number that came before.
+func valueTime(before, n int) time.Duration {
+	short := max(0, min(n, bufferedValue-before))
+	return time.Duration(short)*shortValueTimePerByte + time.Duration(n-short)*valueTimePerByte
+}
+
 // awaitCommand sets the read deadline for the next command: none while commands are open, since the read
 // then also detects that the client disconnects. Reports whether a command is to be read.
 func (c *clientConn) awaitCommand() bool {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,8 +30,10 @@
 	firstCommandTimeout = 2600 * time.Millisecond
 	// Time to read a later command completely, from its first byte.
 	commandTimeout = 2200 * time.Millisecond
-	// Added per byte of a long value: the minimum rate is 250 kB/s.
-	valueTimePerByte = 4 * time.Microsecond
+	// Added per byte of a value: the minimum rate is 16 kB/s for bufferedValue bytes and 250 kB/s beyond.
+	shortValueTimePerByte = 64 * time.Microsecond
+	valueTimePerByte      = 4 * time.Microsecond
+	bufferedValue         = 64 << 10
 	// Minimum idle time of a connection that countActive may evict: one that was answered just now is kept.
 	minRestTime        = 100 * time.Millisecond
 	answerWriteTimeout = 5 * time.Second        // for a client to take more of its answers
