--- a/internal/fleettest/mutants/mutants.go
+++ b/internal/fleettest/mutants/mutants.go
@@ -45,6 +45,20 @@
 var noAbort = Edit{connFile, "		raw.Control(shutdown) //nolint:errcheck // it may be closed already\n		c.shut.Store(true)\n", ""}
 
 var mutants = []Mutant{
+	{"begun answer canceled as stalled", []Edit{{"decide/decide.go", "r.attempts[i].done || r.attempts[i].begun() ||", "r.attempts[i].done ||"}}},
+	{"pause within a begun answer ends it", []Edit{{connFile, "		deadline, c.deadlineFinal = c.answerBy.Add(cancelMargin), true\n", ""}}},
+	{"time of a body counts as latency", []Edit{{"decide/begun.go", "	return math.Min(latency, a.begunAt-a.sentAt)\n", "	return math.Max(latency, a.begunAt-a.sentAt)\n"}}},
+	{"records of keys without bound", []Edit{{"decide/state.go", "if len(b.keyList) < b.cfg.MaxKeys {", "if len(b.keyList) >= 0 {"}}},
+	{"popular key forgotten for a new one", []Edit{{"decide/state.go", "rate < b.keyList[coldest].rate.value", "rate > b.keyList[coldest].rate.value"}}},
+	{"server blamed for the router's lateness", []Edit{{"decide/decide.go", "	if b.extendPatience(r, i) {\n		return\n	}\n", ""}}},
+	{"half command of RESP not counted", []Edit{{"internal/proto/resp/resp.go", "	c.reserved += n\n", "	c.Return(n)\n"}}},
+	{"list bounded as a whole", []Edit{{"internal/member/discovery.go", "	r.timer.Reset(r.limit)\n", ""}}},
+	{"allowance without bound", []Edit{{"internal/front/pacing.go", "a.units = min(allowanceBurst, a.units+allowanceRate*now.Sub(a.updated).Seconds())", "a.units += allowanceRate * now.Sub(a.updated).Seconds()"}}},
+	{"answers of a client bounded as a whole", []Edit{{"internal/front/answers.go", "if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {", "if n >= 0 || !errors.Is(err, os.ErrDeadlineExceeded) {"}}},
+	{"loud clients not paced", []Edit{{"internal/front/pacing.go", "c.pause(reserve(c.manager.pacer.commands, turnUnits))", "reserve(c.manager.pacer.commands, turnUnits)"}}},
+	{"id of an abandoned request forgotten", []Edit{{"internal/engine/unsafe.go", "len(r.attempts) == 0 || result == ClientGone {", "len(r.attempts) == 0 {"}, {"internal/engine/unsafe.go", "if mayHaveRun && r.client != nil && r.client.Closed() {", "if mayHaveRun && r.client == nil {"}}},
+	{"ids not taken from the predecessor", []Edit{{"internal/service/platform.go", "		ids.Add(update.IDs...)\n", ""}}},
+	{"large write bounded as a short one", []Edit{{"internal/front/conn.go", "time.Duration(short)*shortValueTimePerByte + time.Duration(n-short)*valueTimePerByte", "time.Duration(n) * valueTimePerByte"}}},
 	{"error line accepted for any request", []Edit{{"internal/backend/meta/meta.go", "return reply, engine.UnnamedError, err", "return reply, engine.Identified, err"}}},
 	{"connection open while a retry begins after an error line", []Edit{{"internal/engine/host.go", "		r.closeHeld()\n", ""}}},
 	{"unsafe request on a connection with an error line", []Edit{{reuseFile, "	if r != nil && !r.Repeatable {\n		return false\n	}\n", ""}}},
--- a/internal/fleettest/soak/deadline_test.go
+++ b/internal/fleettest/soak/deadline_test.go
@@ -15,7 +15,7 @@
 func canceling(s *settings) { s.Cancel = true }
 
 // scriptedWith is scripted with changed settings.
-func scriptedWith(t *testing.T, servers int, connectTimeout time.Duration, change func(*settings)) *world {
+func scriptedWith(t testing.TB, servers int, connectTimeout time.Duration, change func(*settings)) *world {
 	t.Helper()
 	class := func(name string, effect Effect) Class {
 		return Class{Name: name, Effect: effect, Target: 2 * time.Second, Deadline: 3 * time.Second, Window: time.Second}
@@ -26,7 +26,7 @@
 	plan := Plan{Seed: 1, Routers: 1, Servers: servers, settings: settings{Routers: 1, ConnectTimeout: connectTimeout, ColdPhase: time.Second, ColdFrom: 0.3, FallFactor: 3, FallFor: 2 * time.Second,
 		Classes: []Class{class("read", Repeatable), class("put", Keyed), class("bill", Once), poll, status}}}
 	change(&plan.settings)
-	w := &world{plan: plan, program: program, dir: t.TempDir(), log: t.Logf, ledger: NewLedger(), replacing: map[int]bool{}, draining: map[int]bool{}}
+	w := &world{plan: plan, program: *program, dir: t.TempDir(), log: t.Logf, ledger: NewLedger(), replacing: map[int]bool{}, draining: map[int]bool{}}
 	t.Cleanup(w.close)
 	if err := w.start(); err != nil {
 		t.Fatal(err)
--- a/internal/fleettest/soak/loudclient_test.go
+++ b/internal/fleettest/soak/loudclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,7 +15,7 @@
 const quietWait = 202 * time.Millisecond
 
 // besideLoud sends reads at a rate beside loud clients, and returns what was found.
-func besideLoud(t *testing.T, kind LoudKind, clients, perSecond int, length time.Duration) (*world, *loudClients) {
+func besideLoud(t testing.TB, kind LoudKind, clients, perSecond int, length time.Duration) (*world, *loudClients) {
 	t.Helper()
 	w := scriptedWith(t, 8, time.Second, canceling)
 	for _, s := range w.caches {
@@ -51,7 +52,7 @@
 }
 
 // memoryMB returns the peak of the memory that a process has had, in MB.
-func (p *process) memoryMB(t *testing.T) int {
+func (p *process) memoryMB(t testing.TB) int {
 	t.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
 	if err != nil {
@@ -69,3 +70,47 @@
 	t.Fatal("no peak of the memory")
 	return 0
 }
+
+// loudNumbers are how many loud clients the benchmark has.
+var loudNumbers = []int{1, 6, 24, 48, 200}
+
+// BenchmarkOthersBesideLoudClients measures what other clients get beside loud ones: 50 reads a second that wait for
+// 202 ms. Compare with an earlier program by -soak.program.
+func BenchmarkOthersBesideLoudClients(b *testing.B) {
+	for _, kind := range loudKinds {
+		for _, clients := range loudNumbers {
+			b.Run(fmt.Sprintf("%s/%d", kind, clients), func(b *testing.B) {
+				for range b.N {
+					w, _ := besideLoud(b, kind, clients, 50, 2*time.Second)
+					w.reportOthers(b)
+				}
+			})
+		}
+	}
+}
+
+// reportOthers reports the share that was served, the times until the answers, and the memory of the router.
+func (w *world) reportOthers(b *testing.B) {
+	b.Helper()
+	var took []time.Duration
+	served, late := 0, 0
+	w.ledger.update(func() {
+		for _, r := range w.ledger.order {
+			if r.Outcome == Served {
+				served++
+			}
+			after := r.Answered.Sub(r.Sent)
+			if r.Outcome == None || after > r.Wait+answerSlack {
+				late++
+			}
+			took = append(took, after)
+		}
+	})
+	slices.Sort(took)
+	b.ReportMetric(float64(served)/float64(len(took)), "served")
+	b.ReportMetric(float64(late), "late-or-lost")
+	b.ReportMetric(took[len(took)/2].Seconds()*1000, "p50-ms")
+	b.ReportMetric(took[len(took)*99/100].Seconds()*1000, "p99-ms")
+	b.ReportMetric(took[len(took)-1].Seconds()*1000, "max-ms")
+	b.ReportMetric(float64(w.process(0).memoryMB(b)), "MB")
+}
--- a/internal/fleettest/soak/soak_test.go
+++ b/internal/fleettest/soak/soak_test.go
@@ -16,15 +16,15 @@
 	first   = flag.Uint64("soak.first", 1, "the first seed")
 	routers = flag.Int("soak.routers", 12, "most routers of a play; 10 are the least")
 	length  = flag.Duration("soak.length", 10*time.Second, "for which clients send")
+	// To compare with an earlier version.
+	program = flag.String("soak.program", "", "router program that is played; built from this tree where it is empty")
 )
 
-var program string
-
 func TestMain(m *testing.M) {
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "soak-")
-	if err == nil {
-		program, err = Build(context.Background(), dir)
+	if err == nil && *program == "" {
+		*program, err = Build(context.Background(), dir)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -62,7 +62,7 @@
 	total := map[Invariant]int{}
 	for i := range *seeds {
 		plan := Draw(*first+uint64(i), Size{Routers: [2]int{min(10, *routers), *routers}, Length: *length})
-		r, err := Play(t.Context(), program, t.TempDir(), plan, nil)
+		r, err := Play(t.Context(), *program, t.TempDir(), plan, nil)
 		if err != nil {
 			t.Fatalf("seed %d: %v", plan.Seed, err)
 		}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -69,7 +69,7 @@
 func (c *clientConn) startSession() bool {
 	peer := Peer{RemoteAddr: c.RemoteAddr().String()}
 	if tlsConn, ok := c.Conn.(*tls.Conn); ok {
-		time.Sleep(reserve(c.manager.pacer.handshakes, 1))
+		c.awaitHandshake()
 		if err := tlsConn.Handshake(); err != nil { // the connection's read deadline applies
 			return false
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -148,11 +148,6 @@
 			gap = acceptGap{waitStart, now}
 		}
 		m.serveConn(c, arrived)
-		if wait := reserve(m.pacer.connections, 1); wait > 0 {
-			pauseStart := time.Now()
-			time.Sleep(wait)
-			gap = acceptGap{pauseStart, time.Now()}
-		}
 	}
 }
 
--- a/internal/front/pacing.go
+++ b/internal/front/pacing.go
@@ -9,15 +9,15 @@
 )
 
 // Pacer limits the work that clients cause on one engine's core without any of it reaching a server: commands
-// that are answered at once, requests that are rejected before an attempt, and new connections. Other requests
+// that are answered at once, requests that are rejected before an attempt, and TLS handshakes. Other requests
 // are limited by their open number, maxPipelinedCommands of a connection. A client beyond its allowance is slowed
-// down by not being read, which delays its own answers and nobody else's.
+// down by not being read, which delays its own answers and nobody else's. New connections are taken as they come:
+// requests on them would wait too.
 //
 // Work is measured in units: one is about a command of one line. Methods may be called from any goroutine.
 type Pacer struct {
-	commands    *rate.Limiter // units of connections beyond their allowance
-	connections *rate.Limiter
-	handshakes  *rate.Limiter // of TLS
+	commands   *rate.Limiter // units of connections beyond their allowance
+	handshakes *rate.Limiter // of TLS
 }
 
 // LoginUnits is the Work of a login, whose proof is verified.
@@ -37,19 +37,16 @@
 	rejectedUnits = 4
 	// unitBytes is how many bytes of a command count as one unit.
 	unitBytes = 2048
-	// New connections per second, and how many may come at once.
-	connectionRate  = 1500
-	connectionBurst = 512
 	// TLS handshakes per second, each about a millisecond of a core, and how many may come at once.
-	handshakeRate  = 250
-	handshakeBurst = 64
+	handshakeRate  = 600
+	handshakeBurst = 256
 	// pauseStep is the time between checks for closing during a pause.
 	pauseStep = 25 * time.Millisecond
 )
 
 // NewPacer returns a Pacer for the clients of one engine.
 func NewPacer() *Pacer {
-	return &Pacer{rate.NewLimiter(sharedRate, sharedBurst), rate.NewLimiter(connectionRate, connectionBurst), rate.NewLimiter(handshakeRate, handshakeBurst)}
+	return &Pacer{rate.NewLimiter(sharedRate, sharedBurst), rate.NewLimiter(handshakeRate, handshakeBurst)}
 }
 
 // reserve takes n units of a limiter and returns how long to wait for them.
@@ -106,6 +103,22 @@
 	}
 }
 
+// awaitHandshake waits for the connection's turn of a TLS handshake. That does not count towards the time for its
+// first command.
+func (c *clientConn) awaitHandshake() {
+	wait := reserve(c.manager.pacer.handshakes, 1)
+	if wait == 0 {
+		return
+	}
+	time.Sleep(wait)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing.active {
+		c.idleSince = time.Now()
+		c.SetReadDeadline(c.idleSince.Add(firstCommandTimeout))
+	}
+}
+
 // isClosing reports whether the connection is to be closed, or can't be written any more.
 func (c *clientConn) isClosing() bool {
 	c.mu.Lock()
