--- a/decide/begun_test.go
+++ b/decide/begun_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// beginSlowRead sends a read to one of four servers, whose answer then begins.
-func beginSlowRead(t *testing.T) (*Balancer, *fakeHost, *server) {
+// readOnOneOf sends a read to one of four servers, without hedging, and returns that server.
+func readOnOneOf(t *testing.T, left float64) (*Balancer, *fakeHost, *server) {
 	t.Helper()
 	cfg := testConfig()
 	cfg.Copies = false
@@ -16,14 +16,21 @@
 		t.Fatal(err)
 	}
 	b.Servers(100000, Full, fleet(4))
-	b.Request(100010, Request{ID: 7, Class: "read", Key: 42, HasKey: true, Left: 2500})
+	b.Request(100010, Request{ID: 7, Class: "read", Key: 42, HasKey: true, Left: left})
 	if len(h.sends) != 1 {
 		t.Fatalf("sent %v", h.sends)
 	}
-	b.AnswerBegun(100030, 7, 0)
 	return b, h, b.servers[h.last().server]
 }
 
+// beginSlowRead sends a read whose answer then begins.
+func beginSlowRead(t *testing.T) (*Balancer, *fakeHost, *server) {
+	t.Helper()
+	b, h, s := readOnOneOf(t, 2500)
+	b.AnswerBegun(100030, 7, 0)
+	return b, h, s
+}
+
 // Guards against a sound answer that is cut off as stalled while it comes slowly.
 func TestAttemptWhoseAnswerHasBegunIsNeitherCanceledNorRepeated(t *testing.T) {
 	b, h, s := beginSlowRead(t)
--- a/decide/late_test.go
+++ b/decide/late_test.go
@@ -4,16 +4,7 @@
 
 // Guards against servers that are blamed for a router that was late by itself.
 func TestPatienceIsExtendedByTheRoutersOwnLateness(t *testing.T) {
-	cfg := testConfig()
-	cfg.Copies = false
-	h := newHost()
-	b, err := New(cfg, 1, h)
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.Servers(100000, Full, fleet(4))
-	b.Request(100010, Request{ID: 7, Class: "read", Key: 42, HasKey: true, Left: 500})
-	s := b.servers[h.last().server]
+	b, h, s := readOnOneOf(t, 500)
 	stalled := h.timers[len(h.timers)-1].token
 	b.Late(100150, 120)
 	h.timers = nil
--- a/internal/fleettest/soak/cacheserver.go
+++ b/internal/fleettest/soak/cacheserver.go
@@ -340,6 +340,7 @@
 			s.mu.Unlock()
 			cmd.attempt = s.ledger.addAttempt(s.id, strings.TrimPrefix(cmd.fields[3], "O"), deadlineOf(strings.TrimPrefix(cmd.fields[4], "P")), first, c.now())
 			if cmd.attempt != nil {
+				s.ledger.markRead(cmd.attempt, c.TCPConn)
 				attempts = append(attempts, cmd.attempt)
 			}
 		}
--- a/internal/fleettest/soak/check.go
+++ b/internal/fleettest/soak/check.go
@@ -130,8 +130,8 @@
 	for j, before := range r.Attempts[:i] {
 		c.r.Checked[Overlap]++
 		if before.inProgressAt(a.Read, overlapSlack+c.l.lateness.around(a.Read)) {
-			c.broken(Overlap, r.ID, fmt.Sprintf("attempt %d at %s began %v after attempt %d at %s, which ended %v after its begin", i, a.Server, a.Read.Sub(before.Read), j,
-				before.Server, before.Ended.Sub(before.Read)))
+			c.broken(Overlap, r.ID, fmt.Sprintf("attempt %d at %s began %v after attempt %d at %s, which ended %v after its begin; closed when they were read: %v, %v", i, a.Server, a.Read.Sub(before.Read), j,
+				before.Server, before.Ended.Sub(before.Read), a.ReadGone, before.ReadGone))
 		}
 		if r.Class.Effect == Repeatable || !before.Ran {
 			continue
--- a/internal/fleettest/soak/ledger.go
+++ b/internal/fleettest/soak/ledger.go
@@ -39,6 +39,7 @@
 	Ended          time.Time     // when it was answered, or its connection ended; zero = it is out
 	Closed         time.Time     // when the end of its connection was seen; zero = it is open
 	Gone           bool          // it was answered on a connection that the router had closed
+	ReadGone       bool          // the router had closed its connection when the last byte was read
 	Ran            bool          // it may have had its effect
 	Effect         Effect        // of its request's class
 	Begun          time.Time     // when the head of a slow answer was written; zero = it was none,
@@ -133,6 +134,12 @@
 	return a
 }
 
+// markRead records whether the connection of an attempt was closed when its last byte was read.
+func (l *Ledger) markRead(a *Attempt, c net.Conn) {
+	gone := sock.Closed(c)
+	l.update(func() { a.ReadGone = gone })
+}
+
 // markRan records that an attempt has its effect.
 func (l *Ledger) markRan(a *Attempt) { l.update(func() { a.Ran = true }) }
 
--- a/internal/fleettest/soak/origin.go
+++ b/internal/fleettest/soak/origin.go
@@ -151,6 +151,7 @@
 			if got.attempt = o.ledger.addAttempt(originID, id, deadlineOf(r.Header.Get("X-Facts")), first, time.Now()); got.attempt == nil {
 				return
 			}
+			o.ledger.markRead(got.attempt, c.TCPConn)
 			attempts = append(attempts, got.attempt)
 		}
 		c.sendDeferredCopy(&o.wg)
