Engine: an unsafe request runs once also when its answer crosses its client's leave

What callers would see: an unsafe request that comes again with its id ran twice, as its answer was written in the moment in which its client left. Cause: an id was forgotten with the answer to a client that was still there. Keys of RESP name later commands too, so they are forgotten with the answer, unless the client has left. The test TestUnsafeRequestWhoseAnswerWasNotReadRunsOnce covers it. Ids of plays differ from those of other processes on the machine now, and violations of the repeat check name the servers.

--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -29,6 +29,8 @@
 	// The command with its arguments, where the fields above don't describe it; read-only.
 	Args      [][]byte
 	CacheFill bool // made by the router itself to store a fetched value, see Store
+	// A later request may have the same ID once this one is answered. Otherwise one that comes again is the same.
+	ReusableID bool
 
 	// Set by Submit, for backends.
 	Serial     uint64 // unique in this process; never 0 for a submitted request
--- a/internal/engine/unsafe.go
+++ b/internal/engine/unsafe.go
@@ -16,9 +16,9 @@
 	maxUnsafe = 8192
 )
 
-// UnsafeIDs remembers the IDs of unsafe requests that may run, or have run, and whose clients have no answer: such
-// a request must not run if it comes again. It is shared by the engines of a pool, and by a process with the one
-// that takes over from it. It may be used from any goroutine. A nil set remembers nothing.
+// UnsafeIDs remembers the IDs of unsafe requests that may run, or have run: such a request must not run if it comes
+// again, as its client may have left without its answer. It is shared by the engines of a pool, and by a process
+// with the one that takes over from it. It may be used from any goroutine. A nil set remembers nothing.
 type UnsafeIDs struct {
 	mu      sync.Mutex
 	until   map[string]time.Time
@@ -88,26 +88,28 @@
 func (s *UnsafeIDs) Changed() <-chan struct{} { return s.changed }
 
 // mayRun reports whether a request may run that a client has just sent. An unsafe one may not if one with its ID
-// may have run and its client has left without an answer.
+// may have run.
 func (e *Engine) mayRun(q *Request, class decide.Class) bool {
 	if class.Effect == decide.Repeatable {
 		return true
 	}
 	e.Guard.CountCheck(guard.Repeat)
 	if e.unsafe.contains(q.ID) {
-		e.Guard.CountPrevented(guard.Repeat, q.ID, "one with its id may have run, and its client has left without an answer")
+		e.Guard.CountPrevented(guard.Repeat, q.ID, "one with its id may have run")
 		return false
 	}
 	return true
 }
 
-// forgetAnswered forgets the ID of a request that gets an answer, unless its client has left and it may have run.
+// forgetAnswered forgets the ID of a request that gets an answer, if it cannot have run. One whose ID a later
+// request may have is forgotten too, unless its client has left.
 func (e *Engine) forgetAnswered(r *request, result Result) {
 	if r.class.Effect == decide.Repeatable || len(r.attempts) == 0 || result == ClientGone {
 		return
 	}
 	mayHaveRun := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun() })
-	if mayHaveRun && r.client != nil && r.client.Closed() {
+	clientLeft := r.client != nil && r.client.Closed()
+	if mayHaveRun && (!r.ReusableID || clientLeft) {
 		return
 	}
 	e.unsafe.remove(r.ID)
--- a/internal/fleettest/soak/check.go
+++ b/internal/fleettest/soak/check.go
@@ -139,7 +139,7 @@
 		c.r.Checked[Repeat]++
 		since := a.Read.Sub(before.Read)
 		if r.Class.Effect == Once || since > r.Class.Window+timeLimitSlack {
-			c.broken(Repeat, r.ID, fmt.Sprintf("%s: attempt %d began %v after attempt %d, which may have run", r.Class.Name, i, since, j))
+			c.broken(Repeat, r.ID, fmt.Sprintf("%s: attempt %d at %s began %v after attempt %d at %s, which may have run", r.Class.Name, i, a.Server, since, j, before.Server))
 		}
 	}
 }
--- a/internal/fleettest/soak/deadline_test.go
+++ b/internal/fleettest/soak/deadline_test.go
@@ -26,7 +26,7 @@
 	plan := Plan{Seed: 1, Routers: 1, Servers: servers, settings: settings{Routers: 1, ConnectTimeout: connectTimeout, ColdPhase: time.Second, ColdFrom: 0.3, FallFactor: 3, FallFor: 2 * time.Second,
 		Classes: []Class{class("read", Repeatable), class("put", Keyed), class("bill", Once), poll, status}}}
 	change(&plan.settings)
-	w := &world{plan: plan, program: *program, dir: t.TempDir(), log: t.Logf, ledger: NewLedger(), replacing: map[int]bool{}, draining: map[int]bool{}}
+	w := newWorld(plan, *program, t.TempDir(), t.Logf)
 	t.Cleanup(w.close)
 	if err := w.start(); err != nil {
 		t.Fatal(err)
--- a/internal/fleettest/soak/leave_test.go
+++ b/internal/fleettest/soak/leave_test.go
@@ -137,3 +137,21 @@
 		t.Errorf("the second one was answered as %d, want failed", r.Outcome)
 	}
 }
+
+// Guards against an unsafe request that runs twice, as its client left while its answer was on the way.
+func TestUnsafeRequestWhoseAnswerWasNotReadRunsOnce(t *testing.T) {
+	w := scriptedWith(t, 2, time.Second, canceling)
+	r := w.groups[0].request()
+	r.Class, r.Wait = w.plan.settings.class("bill"), 2*time.Second
+	w.sendRead(t, r)
+	w.awaitAnswers(r.Wait)
+	again, err := w.groups[0].conn(true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.write(r)
+	time.Sleep(300 * time.Millisecond)
+	if n := w.runs(r); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
--- a/internal/fleettest/soak/play.go
+++ b/internal/fleettest/soak/play.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -53,12 +54,23 @@
 	wg            sync.WaitGroup // faults
 }
 
+// newWorld returns a play that has not started. Its ids are those of no play of another process on this machine, whose
+// routers may reach a server here, at a port that was theirs.
+func newWorld(plan Plan, program, dir string, log func(string, ...any)) *world {
+	w := &world{plan: plan, program: program, dir: dir, log: log, ledger: NewLedger(), replacing: map[int]bool{}, draining: map[int]bool{}}
+	w.ids.Store(int64(os.Getpid()) << idBits)
+	return w
+}
+
+// idBits is how many bits of an id count the requests of a play.
+const idBits = 20
+
 // Play plays a plan with a router program and gives what was found. dir is for configurations; log may be nil.
 func Play(ctx context.Context, program, dir string, plan Plan, log func(string, ...any)) (Report, error) {
 	if log == nil {
 		log = func(string, ...any) {}
 	}
-	w := &world{plan: plan, program: program, dir: dir, log: log, ledger: NewLedger(), replacing: map[int]bool{}, draining: map[int]bool{}}
+	w := newWorld(plan, program, dir, log)
 	defer w.close()
 	if err := w.start(); err != nil {
 		return Report{}, err
--- a/internal/front/resp/resp.go
+++ b/internal/front/resp/resp.go
@@ -288,7 +288,7 @@
 		id = "resp k " + s.tenant + " " + opts.idempotencyKey
 	}
 	respVersion := s.respVersion
-	return front.Command{OrderKey: slot + 1, Request: &engine.Request{ID: id, Class: class.Name, Tenant: tenant, TenantGeneration: generation,
+	return front.Command{OrderKey: slot + 1, Request: &engine.Request{ID: id, ReusableID: true, Class: class.Name, Tenant: tenant, TenantGeneration: generation,
 		Key: string(keys[0]), HeldBytes: size, Wait: deadline, Write: spec.write, Owners: s.protocol.cfg.Owners(slot, spec.write), Args: cloneArgs(args, size)},
 		Render: func(q *engine.Request, a engine.Answer) []byte { return renderAnswer(a, respVersion) }}
 }
--- a/internal/service/platform.go
+++ b/internal/service/platform.go
@@ -10,6 +10,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -163,6 +164,11 @@
 			return
 		}
 		select {
+		case <-time.After(unsafeInterval): // those of a moment together
+		case <-ctx.Done():
+			return
+		}
+		select {
 		case <-ids.Changed():
 		case <-ctx.Done():
 			return
@@ -170,6 +176,9 @@
 	}
 }
 
+// unsafeInterval is the least time between two updates of the ids of unsafe requests.
+const unsafeInterval = 5 * time.Millisecond
+
 // importUnsafe takes the requests of the old process that must not run again, until that ends.
 func importUnsafe(updates <-chan []byte, ids *engine.UnsafeIDs) {
 	for body := range updates {
