Meta: a part of an earlier answer ahead of an answer does not make it a miss

A server's copy of the first bytes "EN " of an earlier answer came ahead of its answer to the next command; the line "EN VA 38 O000005ac h1" was read as a miss, which proves that nothing has run, and the origin ran the request too. Cause: words of an answer's line that are no flag of the protocol were passed over. Change: an answer whose line has a word that is neither O, c, h0, h1 nor Z is spoilt. A value is not read either then.

--- a/internal/proto/meta/meta.go
+++ b/internal/proto/meta/meta.go
@@ -341,7 +341,7 @@
 	kind, flags := parts[0], parts[1:]
 	id, receipt, known := "", "", true
 	switch {
-	case kind == "VA" && c.Verb == "mg":
+	case kind == "VA" && c.Verb == "mg" && validFlags(flags[1:]):
 		if id, err = answerID(flags[1:]); err == nil && id == c.ID { // else unread: for no request
 			var n int
 			if n, err = parseLength(flags[0], MaxLongValue); err == nil {
@@ -367,7 +367,7 @@
 	default:
 		known = false
 	}
-	if !known {
+	if !known || !validFlags(flags) {
 		return a, Malformed("answer %q", parts)
 	}
 	if id == "" {
@@ -398,6 +398,19 @@
 	return a, nil
 }
 
+// validFlags reports whether all flags of an answer are ones that the protocol knows: a part of an earlier answer
+// that comes once more ahead of an answer makes a line with other words.
+func validFlags(flags []string) bool {
+	for _, f := range flags {
+		switch {
+		case f[0] == 'O' || f[0] == 'c', f == "h0", f == "h1", f == "Z":
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // answerID returns the id among the flags of an answer, or "". An answer with two ids belongs to no request
 // and is an error.
 func answerID(flags []string) (id string, err error) {
