--- a/internal/fleettest/soak/cacheserver.go
+++ b/internal/fleettest/soak/cacheserver.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -272,6 +273,7 @@
 	*net.TCPConn
 	deferredCopy     chan lateCopy // what comes behind the next command; one at most
 	unsolicitedError bool          // an error line that answers no request has come on it
+	unsound          atomic.Bool   // something that answers no request has come on it
 
 	mu     sync.Mutex
 	diedAt time.Time // when the server reset it as a process that dies does; zero = it did not
@@ -477,6 +479,7 @@
 // writeAfter writes a text after a time.
 func (c *servedConn) writeAfter(d time.Duration, text string) {
 	time.Sleep(d)
+	c.unsound.Store(true)
 	io.WriteString(c, text) //nolint:errcheck // the router may have closed
 }
 
--- a/internal/fleettest/soak/slowanswer.go
+++ b/internal/fleettest/soak/slowanswer.go
@@ -70,7 +70,7 @@
 func (c *servedConn) writeSlowly(l *Ledger, a *Attempt, gone <-chan struct{}, head, body, end string, p pace) bool {
 	l.markBegun(a, time.Now().Add(p.total()))
 	if _, err := io.WriteString(c, head); err != nil {
-		l.markCut(a, c.diedItself())
+		l.markCut(a, c.diedItself() || c.unsound.Load())
 		return false
 	}
 	for i, pause := range p.pauses {
@@ -79,7 +79,7 @@
 		case <-timer.C:
 		case <-gone:
 			timer.Stop()
-			l.markCut(a, c.diedItself())
+			l.markCut(a, c.diedItself() || c.unsound.Load())
 			return false
 		}
 		part := body[len(body)*i/len(p.pauses) : len(body)*(i+1)/len(p.pauses)]
@@ -88,7 +88,7 @@
 			part += end
 		}
 		if _, err := io.WriteString(c, part); err != nil {
-			l.markCut(a, c.diedItself())
+			l.markCut(a, c.diedItself() || c.unsound.Load())
 			return false
 		}
 	}
@@ -107,11 +107,11 @@
 	l.update(func() { a.Begun, a.WholeBy = time.Now(), wholeBy })
 }
 
-// markCut records that the connection of a slow answer has ended before the answer was whole; own says whether
-// the server has ended it itself.
-func (l *Ledger) markCut(a *Attempt, own bool) {
+// markCut records that the connection of a slow answer has ended before the answer was whole; excused says whether
+// the server has ended it itself, or has written something on it that is no part of an answer.
+func (l *Ledger) markCut(a *Attempt, excused bool) {
 	l.update(func() {
-		if !own {
+		if !excused {
 			a.CutAt = time.Now()
 		}
 	})
