Fronts: requests that are rejected without an attempt are not paced

In an overload rejections go to clients that do nothing wrong, and what they sent behind them waited.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -53,7 +53,6 @@
 
 	arrival   arrivalTracker // of the input being read; used only by the reader
 	allowance allowance      // used only by the reader
-	neverSent atomic.Int32   // requests rejected without an attempt since pace last counted them
 
 	rawConn     syscall.RawConn // nil = the connection has none
 	directWrite nonBlockingWrite
@@ -245,9 +244,6 @@
 			answer.request = cmd.Request
 			answer.Client = c
 			answer.OnAnswer = func(q *engine.Request, a engine.Answer) {
-				if a.NeverSent {
-					c.neverSent.Add(1)
-				}
 				text := []byte(nil)
 				if a.Result != engine.ClientGone {
 					text = cmd.Render(q, a)
@@ -269,7 +265,9 @@
 		if first {
 			c.manager.countActive(c)
 		}
-		c.pace(&cmd)
+		if cmd.Request == nil {
+			c.pace(&cmd)
+		}
 		if !c.awaitCommand() {
 			return c.endReading(os.ErrDeadlineExceeded)
 		}
--- a/internal/front/pacing.go
+++ b/internal/front/pacing.go
@@ -9,8 +9,8 @@
 )
 
 // Pacer limits the work that clients cause on one engine's core without any of it reaching a server: commands
-// that are answered at once, requests that are rejected before an attempt, and TLS handshakes. Other requests
-// are limited by their open number, maxPipelinedCommands of a connection. A client beyond its allowance is slowed
+// that are answered at once, and TLS handshakes. Requests are limited by their open number, maxPipelinedCommands of
+// a connection, also those that are rejected: in an overload they come from clients that do nothing wrong. A client beyond its allowance is slowed
 // down by not being read, which delays its own answers and nobody else's. New connections are taken as they come:
 // requests on them would wait too.
 //
@@ -33,8 +33,6 @@
 	sharedBurst = 8 * turnUnits
 	// turnUnits are taken at a time, so that connections take turns.
 	turnUnits = 32
-	// rejectedUnits is the cost of a request that is rejected without an attempt.
-	rejectedUnits = 4
 	// unitBytes is how many bytes of a command count as one unit.
 	unitBytes = 2048
 	// TLS handshakes per second, each about a millisecond of a core, and how many may come at once.
@@ -73,14 +71,10 @@
 	return a.units >= 0
 }
 
-// pace waits if a command that was answered at once, or earlier requests that were rejected without an attempt,
-// exceed the connection's allowance, until its share of what all connections may have beyond that has come.
+// pace waits if a command that was answered at once exceeds the connection's allowance, until its share of what all
+// connections may have beyond that has come.
 func (c *clientConn) pace(cmd *Command) {
-	units := rejectedUnits * int(c.neverSent.Swap(0))
-	if cmd.Request == nil {
-		units += 1 + cmd.Work + c.commandBytes/unitBytes
-	}
-	if units == 0 || c.allowance.spend(units, time.Now()) {
+	if c.allowance.spend(1+cmd.Work+c.commandBytes/unitBytes, time.Now()) {
 		return
 	}
 	for c.allowance.units < 0 {
