--- a/internal/fleettest/mutants/mutants.go
+++ b/internal/fleettest/mutants/mutants.go
@@ -57,6 +57,7 @@
 	{"answers of a client bounded as a whole", []Edit{{"internal/front/answers.go", "if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {", "if n >= 0 || !errors.Is(err, os.ErrDeadlineExceeded) {"}}},
 	{"loud clients not paced", []Edit{{"internal/front/pacing.go", "c.pause(reserve(c.manager.pacer.commands, turnUnits))", "reserve(c.manager.pacer.commands, turnUnits)"}}},
 	{"id of an abandoned request forgotten", []Edit{{"internal/engine/unsafe.go", "len(r.attempts) == 0 || result == ClientGone {", "len(r.attempts) == 0 {"}, {"internal/engine/unsafe.go", "if mayHaveRun && (!r.ReusableID || clientLeft) {", "if mayHaveRun && r.client == nil && clientLeft {"}}},
+	{"hang in the middle of an answer not told", []Edit{{"internal/engine/progress.go", "	e.balancer.AnswerStalled(e.now(), a.request.id, a.index)\n", ""}}},
 	{"ids not taken from the predecessor", []Edit{{"internal/service/platform.go", "		ids.Add(update.IDs...)\n", ""}}},
 	{"large write bounded as a short one", []Edit{{"internal/front/conn.go", "time.Duration(short)*shortValueTimePerByte + time.Duration(n-short)*valueTimePerByte", "time.Duration(n) * valueTimePerByte"}}},
 	{"error line accepted for any request", []Edit{{"internal/backend/meta/meta.go", "return reply, engine.UnnamedError, err", "return reply, engine.Identified, err"}}},
