Fronts: clients most of whose requests are rejected are paced, and no others

What callers would see: beside 48 clients that pipeline reads of new names, others were all rejected (50 to 58 of 184 to 192 served, those ahead of the loud clients), in time. Change: a request that was rejected without an attempt costs 4 units of its connection's allowance, and one that was not gives 4 back; the allowance is 256 units at once, as a connection's rejections come in a row. TestServedRequestsMakeUpForRejectedOnes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -399,7 +399,7 @@
 func (e *Engine) Submit(q *Request, readAt float64, handle *RequestHandle) {
 	if e.openByID[q.ID] != nil || !e.ids.acquire(q.ID) { // cache servers would take one for the other
 		e.HeldBytes.Release(q.HeldBytes)
-		handle.OnAnswer(q, Answer{Result: Duplicate})
+		handle.OnAnswer(q, Answer{Result: Duplicate, NeverSent: true})
 		return
 	}
 	// A client can't extend the deadline of its class, so that no record is kept for longer.
@@ -414,7 +414,7 @@
 		e.ids.release(q.ID)
 		e.HeldBytes.Release(q.HeldBytes)
 		e.countAnswer(q.Class, Failed)
-		handle.OnAnswer(q, Answer{Result: Failed})
+		handle.OnAnswer(q, Answer{Result: Failed, NeverSent: true})
 		return
 	}
 	for e.lastID++; e.requests[e.lastID] != nil; e.lastID++ { // IDs are reused after 2^32 requests
@@ -446,7 +446,7 @@
 	if e.traceRequests {
 		slog.Debug("request not admitted", "request", q.ID, "class", q.Class, "wait_ms", q.Wait)
 	}
-	handle.OnAnswer(q, Answer{Result: Refused})
+	handle.OnAnswer(q, Answer{Result: Refused, NeverSent: true})
 }
 
 // ClientLeft reports that the client of a request has disconnected.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -74,7 +74,7 @@
 		e.finish(r, Answer{Result: Failed})
 		return
 	}
-	e.finish(r, Answer{Result: Refused, RetryAfter: wait})
+	e.finish(r, Answer{Result: Refused, RetryAfter: wait, NeverSent: len(r.attempts) == 0})
 }
 
 // Fail answers a request without any promise.
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -69,6 +69,7 @@
 	// Served: the value, instead of Body; the front reports its end with Engine.StreamEnded.
 	Streamed   StreamedValue
 	RetryAfter float64 // Refused: ms after which the client should retry; 0 = unspecified
+	NeverSent  bool    // no attempt was made
 }
 
 // StreamedValue is a value that is too large to be buffered. It is copied from its server to its client in
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -53,6 +53,8 @@
 
 	arrival   arrivalTracker // of the input being read; used only by the reader
 	allowance allowance      // used only by the reader
+	// Units for requests that were rejected, less those for others, since pace last counted them.
+	rejections atomic.Int64
 
 	rawConn     syscall.RawConn // nil = the connection has none
 	directWrite nonBlockingWrite
@@ -244,6 +246,7 @@
 			answer.request = cmd.Request
 			answer.Client = c
 			answer.OnAnswer = func(q *engine.Request, a engine.Answer) {
+				c.countRejections(a.NeverSent)
 				text := []byte(nil)
 				if a.Result != engine.ClientGone {
 					text = cmd.Render(q, a)
@@ -265,9 +268,7 @@
 		if first {
 			c.manager.countActive(c)
 		}
-		if cmd.Request == nil {
-			c.pace(&cmd)
-		}
+		c.pace(&cmd)
 		if !c.awaitCommand() {
 			return c.endReading(os.ErrDeadlineExceeded)
 		}
--- a/internal/front/pacing.go
+++ b/internal/front/pacing.go
@@ -9,8 +9,8 @@
 )
 
 // Pacer limits the work that clients cause on one engine's core without any of it reaching a server: commands
-// that are answered at once, and TLS handshakes. Requests are limited by their open number, maxPipelinedCommands of
-// a connection, also those that are rejected: in an overload they come from clients that do nothing wrong. A client beyond its allowance is slowed
+// that are answered at once, requests of clients most of whose requests are rejected, and TLS handshakes. Other
+// requests are limited by their open number, maxPipelinedCommands of a connection. A client beyond its allowance is slowed
 // down by not being read, which delays its own answers and nobody else's. New connections are taken as they come:
 // requests on them would wait too.
 //
@@ -25,7 +25,7 @@
 
 const (
 	// A connection's own allowance, in units and units per second.
-	allowanceBurst = 64
+	allowanceBurst = 256
 	allowanceRate  = 200
 	// What all connections may have beyond their allowances together, in units per second: a small share of a
 	// core.
@@ -33,6 +33,8 @@
 	sharedBurst = 8 * turnUnits
 	// turnUnits are taken at a time, so that connections take turns.
 	turnUnits = 32
+	// rejectedUnits is the cost of a request that is rejected without an attempt.
+	rejectedUnits = 4
 	// unitBytes is how many bytes of a command count as one unit.
 	unitBytes = 2048
 	// TLS handshakes per second, each about a millisecond of a core, and how many may come at once.
@@ -59,7 +61,8 @@
 	updated time.Time
 }
 
-// spend takes units from the allowance at the given time and reports whether it sufficed.
+// spend takes units from the allowance at the given time, or gives some back if they are negative, and reports
+// whether it sufficed.
 func (a *allowance) spend(units int, now time.Time) bool {
 	if a.updated.IsZero() {
 		a.units = allowanceBurst
@@ -67,14 +70,28 @@
 		a.units = min(allowanceBurst, a.units+allowanceRate*now.Sub(a.updated).Seconds())
 	}
 	a.updated = now
-	a.units -= float64(units)
+	a.units = min(allowanceBurst, a.units-float64(units))
 	return a.units >= 0
 }
 
-// pace waits if a command that was answered at once exceeds the connection's allowance, until its share of what all
-// connections may have beyond that has come.
+// countRejections counts the answer to a request. One that reached a server makes up for one that was rejected
+// without an attempt, so that only a client most of whose requests are rejected is slowed down.
+func (c *clientConn) countRejections(neverSent bool) {
+	if neverSent {
+		c.rejections.Add(rejectedUnits)
+	} else {
+		c.rejections.Add(-rejectedUnits)
+	}
+}
+
+// pace waits if a command that was answered at once, or earlier requests that were rejected, exceed the connection's
+// allowance, until its share of what all connections may have beyond that has come.
 func (c *clientConn) pace(cmd *Command) {
-	if c.allowance.spend(1+cmd.Work+c.commandBytes/unitBytes, time.Now()) {
+	units := int(c.rejections.Swap(0))
+	if cmd.Request == nil {
+		units += 1 + cmd.Work + c.commandBytes/unitBytes
+	}
+	if units == 0 || c.allowance.spend(units, time.Now()) {
 		return
 	}
 	for c.allowance.units < 0 {
--- a/internal/front/pacing_test.go
+++ b/internal/front/pacing_test.go
@@ -53,3 +53,23 @@
 		t.Errorf("the last of %d turns waits %v, want %v", turns, longest, want)
 	}
 }
+
+// Guards against clients that are slowed down though most of their requests are served, as some are rejected in an
+// overload.
+func TestServedRequestsMakeUpForRejectedOnes(t *testing.T) {
+	c := &clientConn{}
+	now := time.Now()
+	for i := range 1000 {
+		c.countRejections(i%3 == 0)
+		if !c.allowance.spend(int(c.rejections.Swap(0)), now) {
+			t.Fatalf("slowed down after %d requests", i)
+		}
+	}
+	for i := range 1000 {
+		c.countRejections(i%3 != 0)
+		if !c.allowance.spend(int(c.rejections.Swap(0)), now) {
+			return
+		}
+	}
+	t.Error("a client most of whose requests are rejected is not slowed down")
+}
