--- a/decide/begun.go
+++ b/decide/begun.go
@@ -25,7 +25,8 @@
 	return a.begunAt
 }
 
-// AnswerBegun handles the begin of the answer to an attempt: its head is there, and the rest is still to come.
+// AnswerBegun handles the begin of the answer to an attempt: its head is there, and the rest is still to
+// come.
 func (b *Balancer) AnswerBegun(now float64, id uint32, i int) {
 	b.advance(now)
 	a := b.attemptInFlight(id, i)
--- a/decide/late.go
+++ b/decide/late.go
@@ -1,14 +1,14 @@
 package decide
 
-// Late handles that the router itself was late by so many ms until now, as its processor was busy or it was held
-// up: the patience with attempts that were in flight is extended by that.
+// Late handles that the router itself was late by so many ms until now, as its processor was busy or it was
+// held up: the patience with attempts that were in flight is extended by that.
 func (b *Balancer) Late(now, by float64) {
 	b.advance(now)
 	b.lateAt, b.lateBy = now, by
 }
 
-// extendPatience extends the patience with an attempt once for each time that the router itself was late since it
-// was sent, and reports whether it did.
+// extendPatience extends the patience with an attempt once for each time that the router itself was late
+// since the attempt was sent, and reports whether it did.
 func (b *Balancer) extendPatience(r *request, i int) bool {
 	a := &r.attempts[i]
 	if b.lateAt <= max(a.sentAt, a.extendedAt) {
