--- a/review/rig-2/window.go
+++ b/review/rig-2/window.go
@@ -74,7 +74,6 @@
 // no effect happens twice.
 func window(w *world) {
 	g := &group{w: w, first: map[string]time.Time{}, tries: map[string]int{}}
-	var servers []*cache
 	var entries []listed
 	for i := range 4 {
 		c := w.newCache(fmt.Sprintf("s-%08x", 0x5be2a070+i), "")
@@ -101,7 +100,7 @@
 			}
 			return c.served(cmd), false
 		}
-		servers, entries = append(servers, c), append(entries, entryOf(c, i))
+		entries = append(entries, entryOf(c, i))
 	}
 	d := w.newDiscovery(entries...)
 	listen := freeAddr()
