--- a/review/rig-2/window.go
+++ b/review/rig-2/window.go
@@ -12,12 +12,12 @@
 func init() { cases["window"] = window }
 
 const (
-	dedupWindow = 2000                    // ms for which all servers drop repeats of a key, by the settings
-	longValue   = 64 << 10                // bytes of a value, the most of the protocol page
-	resetAfter  = 1500 * time.Millisecond // a connection is reset under a request that has begun
-	readTime    = time.Second             // that a server takes to read a long value whose connection was reset before
+	dedupWindow = 1000                   // ms for which all servers drop repeats of a key, by the settings
+	longValue   = 16 << 10               // bytes of a value
+	resetAfter  = 750 * time.Millisecond // a connection is reset under a request that has begun
+	readTime    = 500 * time.Millisecond // that a slow server takes to read a value, less what comes with the command's line
 	writes      = 8
-	piece       = 2 << 10 // bytes that a slow server reads at a time
+	piece       = 1 << 10 // bytes that a slow server reads at a time
 )
 
 // group is what the servers of a group remember together: the first run of each idempotency key.
@@ -48,7 +48,7 @@
 	case !known:
 		g.first[k] = now
 		g.w.notef("%s: attempt %d of %s is whole and runs, key %s", c.id, number, id, k)
-	case since <= dedupWindow*time.Millisecond:
+	case since <= dedupWindow*time.Millisecond+socketSlack:
 		g.w.notef("%s: attempt %d of %s is whole %v after the first and is dropped as a repeat", c.id, number, id, since.Round(time.Millisecond))
 	default:
 		g.w.notef("%s: attempt %d of %s is whole %v after the first, the key is forgotten: it RUNS AGAIN", c.id, number, id, since.Round(time.Millisecond))
@@ -111,7 +111,7 @@
 	settings["discovery"] = "push"
 	settings["categories"] = []object{
 		{"name": "read-status", "effect": "repeatable", "target": 600, "hardLimit": 2500, "gain": 5, "lateWorth": 0},
-		{"name": "log-handover", "effect": "by_key", "keyScope": "all", "window": dedupWindow, "target": 4000, "hardLimit": 5000, "gain": 10, "lateWorth": 0}}
+		{"name": "order-poll", "effect": "by_key", "keyScope": "all", "window": dedupWindow, "target": 1000, "hardLimit": 2500, "gain": 2, "lateWorth": 0}}
 	w.router("n0", listen, d.addr, known, settings)
 	awaitReady(listen, 10*time.Second)
 	stop := make(chan struct{})
@@ -127,7 +127,7 @@
 			defer c.conn.Close()
 			id := fmt.Sprintf("w%d", i)
 			w.notef("client: sends %s, a keyed write of %d bytes", id, longValue)
-			fmt.Fprintf(c.conn, "ms %016x %d O%s Pc=log-handover,d=4800,k=key%d\r\n%s\r\n", uint64(i+1)*0x9e3779b97f4a7c15, longValue, id, i, strings.Repeat("x", longValue))
+			fmt.Fprintf(c.conn, "ms %016x %d O%s Pc=order-poll,d=1500,k=key%d\r\n%s\r\n", uint64(i+1)*0x9e3779b97f4a7c15, longValue, id, i, strings.Repeat("x", longValue))
 			a, err := c.read(time.Now().Add(6 * time.Second))
 			w.notef("client: %s is answered %q %v", id, a.line, err)
 		})
