--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 7: a revoked key is taken on, as a class came with a new configuration after the files that name it.
+# Case 7: a keyed write is repeated after its window: the last byte of the repeat comes too late.
 # Status 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
@@ -10,4 +10,4 @@
 		exit 2
 	fi
 done
-exec "$root/bin/review-2" revoke "$root" "$here"
+exec "$root/bin/review-2" window "$root" "$here"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 9: a tenant that is shown and answered as suspended is served on, after a restore of the store.
+# Case 9: a wrong file of rights that was refused and taken back is in force later.
 # Status 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
@@ -10,4 +10,4 @@
 		exit 2
 	fi
 done
-exec "$root/bin/review-2" tenant "$root" "$here"
+exec "$root/bin/review-2" rights "$root" "$here"
