Fronts: a close is logged with what its client has not acknowledged

New: internal/sock reads what a TCP connection has sent, and what of it its peer has acknowledged (SIOCOUTQ, TCP_INFO); each close of a client connection is logged at debug level with it, and with whether input lay unread.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -107,6 +107,14 @@
 	slog.Debug("client connection is no longer read", "client", c.RemoteAddr().String(), "why", reason, "open", c.openCommands())
 }
 
+// logUndelivered logs at debug level what a close would cut off: answers that the client has not acknowledged, and
+// input that was not read, over which a close resets the connection.
+func (c *clientConn) logUndelivered() {
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("client connection closes", "client", c.RemoteAddr().String(), "unacknowledged", sock.Unacknowledged(c.Conn), "unread", sock.HasInput(c.Conn))
+	}
+}
+
 // Closed implements engine.Client.
 func (c *clientConn) Closed() bool { return sock.Closed(c.Conn) }
 
@@ -323,6 +331,7 @@
 		c.SetReadDeadline(time.Now().Add(lingerTime))
 		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, maxLineBytes)) //nolint:errcheck // discarded
 	}
+	c.logUndelivered()
 	c.Close()
 }
 
