Fronts: a connection is closed when its client has acknowledged all answers

Cause: an answer counted as given once its write had returned. A closing connection was closed as soon as no command was open, over up to 450 KB in the system's buffers. The client takes it for open and sends its next request; the closed socket replies with a reset, which destroys what is unsent.

Change: while answers are held up a closing connection is read and answered on; then its sending side ends, input is discarded until all is acknowledged, and it is closed. The same for every way of ending, meta and RESP, with TLS and without; a connection with unacknowledged answers is not evicted as idle. Where the process ends, a request is admitted only if its answer can arrive by then, by what the client has acknowledged so far. Why this works: with nothing outstanding a reset has nothing to destroy.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -406,6 +406,9 @@
 	class, _ := e.Class(q.Class)
 	now := e.now()
 	answerBy, admitted := (*e.admission.Load()).Admit(now, readAt+min(q.Wait, class.Deadline))
+	if by := handle.AnswerBy; by > 0 {
+		answerBy, admitted = min(answerBy, by), admitted && now < by
+	}
 	if !admitted && !q.CacheFill {
 		e.rejectOnArrival(q, handle)
 		return
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -88,7 +88,10 @@
 // must not block.
 type RequestHandle struct {
 	OnAnswer func(*Request, Answer)
-	Client   Client   // nil = no client that could disconnect
+	Client   Client // nil = no client that could disconnect
+	// Time by which the answer is needed so that the client receives it, in ms of the engine's clock; 0 = no limit.
+	// A request without any time left is rejected.
+	AnswerBy float64
 	request  *request // owned by the engine
 }
 
--- a/internal/fleettest/soak/client.go
+++ b/internal/fleettest/soak/client.go
@@ -23,14 +23,15 @@
 	ids     *atomic.Int64
 	keys    int
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	process *process     // where new connections go,
-	divert  *clientGroup // unless they go where those of another group do; nil = they don't
-	idle    []*clientConn
-	all     map[*clientConn]struct{}
-	crowd   bool // idle connections fill the descriptors of the router: new ones may be shut unread
-	wg      sync.WaitGroup
+	mu        sync.Mutex
+	rng       *rand.Rand
+	process   *process     // where new connections go,
+	divert    *clientGroup // unless they go where those of another group do; nil = they don't
+	idle      []*clientConn
+	all       map[*clientConn]struct{}
+	readDelay time.Duration // ahead of each read of a new connection; 0 = clients read at once
+	crowd     bool          // idle connections fill the descriptors of the router: new ones may be shut unread
+	wg        sync.WaitGroup
 }
 
 // clientConn is one connection of a client.
@@ -40,6 +41,7 @@
 	process *process
 	opened  time.Time
 	crowd   bool
+	delay   time.Duration // ahead of each read
 
 	mu      sync.Mutex
 	pending []*Request // sent, in order
@@ -106,7 +108,7 @@
 		g.mu.Unlock()
 		return c, nil
 	}
-	p, divert, crowd, most := g.process, g.divert, g.crowd, len(g.all) >= connMost
+	p, divert, crowd, delay, most := g.process, g.divert, g.crowd, g.readDelay, len(g.all) >= connMost
 	g.mu.Unlock()
 	if divert != nil {
 		p = divert.current()
@@ -118,7 +120,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
-	c := &clientConn{Conn: nc, group: g, process: p, opened: time.Now(), crowd: crowd}
+	c := &clientConn{Conn: nc, group: g, process: p, opened: time.Now(), crowd: crowd, delay: delay}
 	g.mu.Lock()
 	g.all[c] = struct{}{}
 	g.mu.Unlock()
@@ -191,7 +193,7 @@
 // read reads answers until the connection ends.
 func (c *clientConn) read() {
 	defer c.forget()
-	in := bufio.NewReaderSize(c.Conn, 8192)
+	in := bufio.NewReaderSize(lateReader{c.Conn, c.delay}, 8192)
 	for {
 		line, err := in.ReadString('\n')
 		if err != nil {
@@ -212,6 +214,18 @@
 	}
 }
 
+// lateReader waits ahead of each read.
+type lateReader struct {
+	net.Conn
+	delay time.Duration
+}
+
+// Read reads what has come after the delay.
+func (r lateReader) Read(b []byte) (int, error) {
+	time.Sleep(r.delay)
+	return r.Conn.Read(b) //nolint:wrapcheck // callers check the type of the error
+}
+
 // next is the request that the next answer is for, which stays first until it is whole.
 func (c *clientConn) next() *Request {
 	c.mu.Lock()
--- a/internal/fleettest/soak/gate_test.go
+++ b/internal/fleettest/soak/gate_test.go
@@ -115,12 +115,15 @@
 	w.none(t, Answer, Process, SelfCheck)
 }
 
-// Guards against requests on busy connections that are read after SIGTERM, or left unread, and have no answer at the earliest SIGKILL.
-func TestRequestsOnBusyConnectionsAfterSIGTERMAreAnsweredBeforeTheKill(t *testing.T) {
+// endUnderBusyConnections ends a router whose connections are never idle, and checks that every request has its answer
+// at the earliest kill. Clients wait for readDelay ahead of each read.
+func endUnderBusyConnections(t *testing.T, readDelay time.Duration) {
+	t.Helper()
 	w := scripted(t, 1, time.Second)
 	w.caches[0].hits = 0
 	w.origin.set(Hang)
 	p := w.process(0)
+	w.groups[0].readDelay = readDelay
 	var senders sync.WaitGroup
 	for range 4 {
 		_, c := w.send(t, 1, w.longest())
@@ -142,3 +145,13 @@
 	time.Sleep(w.longest() + answerTime)
 	w.none(t, Answer, Process, SelfCheck)
 }
+
+// Guards against requests on busy connections that are read after SIGTERM, or left unread, and have no answer at the earliest SIGKILL.
+func TestRequestsOnBusyConnectionsAfterSIGTERMAreAnsweredBeforeTheKill(t *testing.T) {
+	endUnderBusyConnections(t, 0)
+}
+
+// Guards against answers that lie in the router's socket as it closes, and go with the reset that their client's next request calls forth.
+func TestRequestsOfClientsThatReadLateAreAnsweredBeforeTheKill(t *testing.T) {
+	endUnderBusyConnections(t, 60*time.Millisecond)
+}
--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -54,6 +54,14 @@
 	a.complete(text, true)
 }
 
+// bytes returns the size of the answer.
+func (a *pendingAnswer) bytes() int {
+	if a.stream == nil {
+		return len(a.text)
+	}
+	return len(a.text) + a.stream.Len()
+}
+
 // discardStream releases a long value that will not be written.
 func (a *pendingAnswer) discardStream() {
 	if a.stream != nil {
@@ -174,6 +182,7 @@
 		}
 		out, size, c.reservations = append(out, pending.text), size+len(pending.text), append(c.reservations, answerReservation{pending.tenant, len(pending.text)})
 		c.queue, c.answersInWrite = c.queue[1:], c.answersInWrite+1
+		c.noteAnswerSize(pending.bytes())
 		if pending.stream != nil { // the next answer follows the complete value
 			c.streaming = pending
 			break
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -27,14 +27,37 @@
 	closeBy   time.Time
 	awaited   int       // open commands that keep the connection open
 	readUntil time.Time // unless a command is awaited, nothing is read later; zero = no limit
+	deliverBy time.Time // when the client must have its answers, as the process ends; zero = no limit
+	tooLate   bool      // an answer to a command that is read now would not arrive by then
 }
 
-// drain closes the connection once no command is open and none is being read. Commands that are read after
-// closeBy do not keep it open.
-func (c *clientConn) drain(closeBy time.Time) {
+// DrainLimits bound in time how connections are drained. A zero time is no limit.
+type DrainLimits struct {
+	CloseBy   time.Time // commands that are read later do not keep a connection open
+	DeliverBy time.Time // clients must have received all answers by then, as the process ends
+}
+
+// earliest returns the limits that satisfy both l and o.
+func (l DrainLimits) earliest(o DrainLimits) DrainLimits {
+	return DrainLimits{CloseBy: earlier(l.CloseBy, o.CloseBy), DeliverBy: earlier(l.DeliverBy, o.DeliverBy)}
+}
+
+// earlier returns the earlier of two times, of which zero means never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// drain closes the connection once no command is open, none is being read and the client takes its answers.
+// Commands that are read after CloseBy do not keep it open.
+func (c *clientConn) drain(limits DrainLimits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing.limit(c.connCloseBy(closeBy))
+	c.closing.limit(c.connCloseBy(limits.CloseBy))
+	c.closing.deliverBy = earlier(c.closing.deliverBy, limits.DeliverBy)
+	c.observeDelivery()
 	c.startClosing()
 	c.updateCommandDeadline()
 }
@@ -84,7 +107,7 @@
 func (c *clientConn) liftLimits() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing.closeBy = time.Time{}
+	c.closing.closeBy, c.closing.deliverBy, c.closing.tooLate = time.Time{}, time.Time{}, false
 	if !c.closing.revoked {
 		c.closing.readUntil = time.Time{}
 	}
@@ -128,10 +151,17 @@
 	return s.readUntil, s.active && s.awaited == 0 && !s.readUntil.IsZero()
 }
 
-// acceptsNoMore reports whether the connection takes no more commands. The caller holds mu.
+// acceptsNoMore reports whether the connection takes no more commands. While earlier answers are held up, what
+// comes is still answered, within bounds, as the client can't know yet that the connection ends. The caller
+// holds mu.
 func (c *clientConn) acceptsNoMore() bool {
 	until, limited := c.closing.readLimit()
-	return limited && !time.Now().Before(until)
+	now := time.Now()
+	if !limited || now.Before(until) {
+		return false
+	}
+	until = earlier(until.Add(answerWriteTimeout), c.closing.deliverBy)
+	return !now.Before(until) || !c.heldUp()
 }
 
 // commandArrivedAtTimeout reports whether a command arrived just as the wait for it timed out.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -17,6 +16,7 @@
 
 	"mossproxy.example/mossproxy/internal/engine"
 	"mossproxy.example/mossproxy/internal/guard"
+	"mossproxy.example/mossproxy/internal/pure/drain"
 	"mossproxy.example/mossproxy/internal/sock"
 )
 
@@ -43,11 +43,13 @@
 	commandBytes    int                 // bytes read since it began, possibly including later commands
 	dropped         bool                // closing at once, without waiting for the command being read
 	closing         closingState
-	lastAnswered    time.Time // when the last answer became ready, while the connection closes
-	idleSince       time.Time // while no command is open
-	commandDeadline time.Time // for the rest of the command being read
-	valueStall      time.Time // for the next bytes of its value; zero = its value has not begun
-	flushScheduled  bool      // answers are written at the end of the engine's batch
+	delivery        drain.Delivery // observed while the connection closes
+	meanAnswerBytes float64        // of its answers so far, the latest ones counting most
+	lastAnswered    time.Time      // when the last answer became ready, while the connection closes
+	idleSince       time.Time      // while no command is open
+	commandDeadline time.Time      // for the rest of the command being read
+	valueStall      time.Time      // for the next bytes of its value; zero = its value has not begun
+	flushScheduled  bool           // answers are written at the end of the engine's batch
 	// The last of the answers being written, if it ends with a long value. Used only by the writer.
 	streaming *pendingAnswer
 
@@ -202,8 +204,11 @@
 	case c.broken:
 		return false
 	// Input that has already arrived is answered.
-	case c.closing.active && (c.openCommands() == 0 || c.acceptsNoMore()):
-		return c.reader.Buffered() > 0 || !c.acceptsNoMore() && sock.HasInput(c.Conn)
+	case c.closing.active && c.acceptsNoMore():
+		return c.reader.Buffered() > 0
+	case c.closing.active && c.openCommands() == 0:
+		c.SetReadDeadline(time.Now().Add(deliveryPollInterval))
+		return c.reader.Buffered() > 0 || sock.HasInput(c.Conn) || !c.dropped && c.heldUp()
 	case c.openCommands() > 0:
 		c.SetReadDeadline(time.Time{})
 	default:
@@ -212,17 +217,30 @@
 	return true
 }
 
+// awaitInput waits for the first byte of a command.
+func (c *clientConn) awaitInput() error {
+	for {
+		_, err := c.reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if c.commandArrivedAtTimeout() {
+			c.beginCommand(false)
+			_, err = c.reader.Peek(1)
+			return err
+		}
+		if !c.readsOn() {
+			return err
+		}
+	}
+}
+
 // readCommands reads commands until the client disconnects, is rejected because of its input, or the
 // connection times out.
 func (c *clientConn) readCommands() (rejected bool) {
 	unknown := 0
 	for first := true; ; first = false {
-		_, err := c.reader.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.commandArrivedAtTimeout() {
-			c.beginCommand(false)
-			_, err = c.reader.Peek(1)
-		}
-		if err != nil {
+		if err := c.awaitInput(); err != nil {
 			return c.endReading(err)
 		}
 		c.beginCommand(first)
@@ -252,7 +270,7 @@
 			answer.complete(cmd.Text, false)
 		} else {
 			answer.request = cmd.Request
-			answer.Client = c
+			answer.Client, answer.AnswerBy = c, c.answerDeadline()
 			answer.OnAnswer = func(q *engine.Request, a engine.Answer) {
 				c.countRejections(a.NeverSent)
 				text := []byte(nil)
@@ -310,9 +328,7 @@
 	}
 }
 
-// finish waits until all answers are written and closes the connection. Closing with unread input would
-// reset the connection and might destroy answers in transit. A rejected client therefore sees the end of
-// the answers first, and its input is read and discarded for a bounded time.
+// finish waits until all answers are written and delivered, and closes the connection.
 func (c *clientConn) finish(rejected bool) {
 	c.logClose(rejected)
 	readEnd := time.Now()
@@ -324,33 +340,33 @@
 	c.mu.Unlock()
 	if broken {
 		c.abandonOpen()
-	} else if !rejected {
-		c.checkUnread(readEnd)
-	}
-	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && rejected && !broken && closer.CloseWrite() == nil {
-		c.SetReadDeadline(time.Now().Add(lingerTime))
-		io.CopyBuffer(io.Discard, io.LimitReader(onlyReader{c.Conn}, lingerBytes), make([]byte, maxLineBytes)) //nolint:errcheck // discarded
+	} else {
+		if !rejected {
+			c.checkUnread(readEnd)
+		}
+		c.deliver(rejected)
 	}
 	c.logUndelivered()
 	c.Close()
 }
 
-// forceClose closes the connection even if commands are open, as the process ends.
+// forceClose closes the connection even if commands are open or answers are on their way, as the process ends.
 func (c *clientConn) forceClose() {
 	c.mu.Lock()
 	open, broken := c.openCommands(), c.broken
 	c.mu.Unlock()
 	g := c.manager.engine.Guard
 	g.CountCheck(guard.Unanswered)
-	if open > 0 && !broken && !c.Closed() {
+	switch unacked := sock.Unacknowledged(c.Conn); {
+	case broken || c.Closed():
+	case open > 0:
 		g.RecordViolation(guard.Unanswered, c.RemoteAddr().String(), "closed with %d requests open", open)
+	case unacked > 0:
+		g.RecordViolation(guard.Unanswered, c.RemoteAddr().String(), "closed over %d bytes of answers that the client has not acknowledged", unacked)
 	}
 	c.Close()
 }
 
-// onlyReader hides the methods that would let io.CopyBuffer bypass its buffer.
-type onlyReader struct{ io.Reader }
-
 // waitForOrder waits until no command with the same order key is unanswered. Their deadlines bound the
 // wait.
 func (c *clientConn) waitForOrder(orderKey int) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,14 +94,14 @@
 	engine        *engine.Engine
 	protocol      Protocol
 	listener      net.Listener
-	slots         chan struct{}             // one element for each open connection or reserved slot
-	readers       sync.Pool                 // of *bufio.Reader, as misbehaving clients reconnect by the hundreds
-	advertised    atomic.Bool               // clients may be sent to this router
-	draining      atomic.Pointer[time.Time] // see StartDraining; nil = not draining
-	activeConns   atomic.Int64              // connections that have sent a command
-	reservedSlots atomic.Int64              // slots withheld by SetUsableShare
-	limiter       *connLimiter              // nil = slots are not divided between tenants
-	pacer         *Pacer                    // limits the work that clients cause beside requests
+	slots         chan struct{}               // one element for each open connection or reserved slot
+	readers       sync.Pool                   // of *bufio.Reader, as misbehaving clients reconnect by the hundreds
+	advertised    atomic.Bool                 // clients may be sent to this router
+	draining      atomic.Pointer[DrainLimits] // see StartDraining; nil = not draining
+	activeConns   atomic.Int64                // connections that have sent a command
+	reservedSlots atomic.Int64                // slots withheld by SetUsableShare
+	limiter       *connLimiter                // nil = slots are not divided between tenants
+	pacer         *Pacer                      // limits the work that clients cause beside requests
 	wg            sync.WaitGroup
 
 	mu    sync.Mutex
@@ -266,8 +266,8 @@
 		m.readers.Put(r)
 		<-m.slots
 	})
-	if closeBy := m.draining.Load(); closeBy != nil {
-		c.drain(*closeBy)
+	if limits := m.draining.Load(); limits != nil {
+		c.drain(*limits)
 	}
 }
 
@@ -292,16 +292,18 @@
 	m.protocol.Drain(!keepClients)
 }
 
-// StartDraining closes each connection once all its commands are answered, and new ones after their first
-// answer. Commands that are read after closeBy do not keep a connection open: the engine has to reject their
-// requests. Repeated calls only bring closeBy forward.
-func (m *ConnManager) StartDraining(closeBy time.Time) {
-	if current := m.draining.Load(); current != nil && !closeBy.Before(*current) {
-		return
+// StartDraining closes each connection once all its commands are answered and the client takes its answers, and new
+// ones after their first answer. Commands that are read after CloseBy do not keep a connection open: the engine has
+// to reject their requests. Repeated calls only bring the limits forward.
+func (m *ConnManager) StartDraining(limits DrainLimits) {
+	if current := m.draining.Load(); current != nil {
+		if limits = current.earliest(limits); limits == *current {
+			return
+		}
 	}
-	m.draining.Store(&closeBy)
+	m.draining.Store(&limits)
 	for _, c := range m.openConns() {
-		c.drain(closeBy)
+		c.drain(limits)
 	}
 }
 
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -184,7 +184,8 @@
 		if rule.requireRest && (!c.countedActive.Load() || time.Since(since) < minRestTime) {
 			continue
 		}
-		if current, found := longest[c.tenant]; idle && (!found || since.Before(current.since)) {
+		current, found := longest[c.tenant]
+		if idle && (!found || since.Before(current.since)) && !c.undelivered() {
 			longest[c.tenant] = idleConn{c, since}
 		}
 	}
--- a/internal/pure/drain/bounds.go
+++ b/internal/pure/drain/bounds.go
@@ -9,6 +9,7 @@
 	LatestDeadline float64 // requests with a later deadline are rejected
 	AnswerBy       float64 // later deadlines are cut to this time
 	CloseBy        float64 // commands that arrive later do not keep a connection open
+	DeliverBy      float64 // clients must have received all answers by then, as the process ends
 }
 
 const (
@@ -27,7 +28,7 @@
 // Unbounded are the bounds of a router that serves.
 func Unbounded() Bounds {
 	never := math.Inf(1)
-	return Bounds{never, never, never, never}
+	return Bounds{never, never, never, never, never}
 }
 
 // outOfServiceBounds are the bounds of a router that operators have taken out of service: a request gets its
@@ -47,6 +48,7 @@
 	b.AnswerBy = since + longestDeadline + killAfter - answerMargin
 	b.AdmitUntil = b.AnswerBy
 	b.CloseBy = since + longestDeadline + killAfter - closeMargin
+	b.DeliverBy = b.CloseBy
 	return b
 }
 
@@ -57,12 +59,13 @@
 		LatestDeadline: min(b.LatestDeadline, o.LatestDeadline),
 		AnswerBy:       min(b.AnswerBy, o.AnswerBy),
 		CloseBy:        min(b.CloseBy, o.CloseBy),
+		DeliverBy:      min(b.DeliverBy, o.DeliverBy),
 	}
 }
 
 // Shift returns the bounds on another clock, which is ahead by the given ms.
 func (b Bounds) Shift(ahead float64) Bounds {
-	return Bounds{b.AdmitUntil + ahead, b.LatestDeadline + ahead, b.AnswerBy + ahead, b.CloseBy + ahead}
+	return Bounds{b.AdmitUntil + ahead, b.LatestDeadline + ahead, b.AnswerBy + ahead, b.CloseBy + ahead, b.DeliverBy + ahead}
 }
 
 // Admit decides on a request that is read at the time now and whose client waits until deadline. It returns
--- a/internal/pure/drain/bounds_test.go
+++ b/internal/pure/drain/bounds_test.go
@@ -19,15 +19,15 @@
 		at      float64
 		want    Bounds
 	}{
-		"serving":             {func(*Machine) {}, 0, Bounds{never, never, never, never}},
-		"grace of a drain":    {func(m *Machine) { m.TakeOutOfService(0) }, testGrace - 1, Bounds{never, never, never, never}},
-		"out of service":      {func(m *Machine) { m.TakeOutOfService(0) }, testGrace, Bounds{1800, 3800, never, 3900}},
-		"back in service":     {func(m *Machine) { m.TakeOutOfService(0); m.PutInService() }, 1000, Bounds{never, never, never, never}},
-		"out a second time":   {func(m *Machine) { m.TakeOutOfService(0); m.PutInService(); m.TakeOutOfService(2000) }, 3000, Bounds{3800, 5800, never, 5900}},
-		"shutdown":            {func(m *Machine) { m.BeginShutdown(0, testLongest) }, 0, Bounds{3000, never, 3000, 3100}},
-		"shutdown, successor": {func(m *Machine) { m.SetSuccessor(true); m.BeginShutdown(0, testLongest) }, 0, Bounds{3000, never, 3000, 3100}},
-		"shutdown in a drain": {func(m *Machine) { m.TakeOutOfService(0); m.BeginShutdown(1000, testLongest) }, 1000, Bounds{1800, 3800, 4000, 3900}},
-		"drain in a shutdown": {func(m *Machine) { m.BeginShutdown(0, testLongest); m.TakeOutOfService(100) }, 700, Bounds{1900, 3900, 3000, 3100}},
+		"serving":             {func(*Machine) {}, 0, Bounds{never, never, never, never, never}},
+		"grace of a drain":    {func(m *Machine) { m.TakeOutOfService(0) }, testGrace - 1, Bounds{never, never, never, never, never}},
+		"out of service":      {func(m *Machine) { m.TakeOutOfService(0) }, testGrace, Bounds{1800, 3800, never, 3900, never}},
+		"back in service":     {func(m *Machine) { m.TakeOutOfService(0); m.PutInService() }, 1000, Bounds{never, never, never, never, never}},
+		"out a second time":   {func(m *Machine) { m.TakeOutOfService(0); m.PutInService(); m.TakeOutOfService(2000) }, 3000, Bounds{3800, 5800, never, 5900, never}},
+		"shutdown":            {func(m *Machine) { m.BeginShutdown(0, testLongest) }, 0, Bounds{3000, never, 3000, 3100, 3100}},
+		"shutdown, successor": {func(m *Machine) { m.SetSuccessor(true); m.BeginShutdown(0, testLongest) }, 0, Bounds{3000, never, 3000, 3100, 3100}},
+		"shutdown in a drain": {func(m *Machine) { m.TakeOutOfService(0); m.BeginShutdown(1000, testLongest) }, 1000, Bounds{1800, 3800, 4000, 3900, 4100}},
+		"drain in a shutdown": {func(m *Machine) { m.BeginShutdown(0, testLongest); m.TakeOutOfService(100) }, 700, Bounds{1900, 3900, 3000, 3100, 3100}},
 	} {
 		m := &Machine{Grace: testGrace}
 		c.prepare(m)
@@ -71,8 +71,8 @@
 
 // Guards against bounds that are compared with times of another clock.
 func TestShiftMovesEveryBound(t *testing.T) {
-	got := Bounds{1, 2, 3, 4}.Shift(10)
-	if want := (Bounds{11, 12, 13, 14}); got != want {
+	got := Bounds{1, 2, 3, 4, 5}.Shift(10)
+	if want := (Bounds{11, 12, 13, 14, 15}); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	if Unbounded().Shift(-10) != Unbounded() {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -31,6 +31,21 @@
 
 // partsOn is such a router with a listener of the test's.
 func partsOn(t *testing.T, ln net.Listener, memoryMB int64, places int, entries ...member.Entry) (*engine.Engine, string) {
+	t.Helper()
+	e, _ := startParts(t, ln, clients.Protocol{}, memoryMB, places, entries...)
+	return e, ln.Addr().String()
+}
+
+// startFront starts a router whose front the test can reach, for clients that speak a protocol.
+func startFront(t *testing.T, proto front.Protocol, places int, entries ...member.Entry) (m *front.ConnManager, addr string) {
+	t.Helper()
+	ln := listenLocal(t)
+	_, m = startParts(t, ln, proto, 192, places, entries...)
+	return m, ln.Addr().String()
+}
+
+// startParts starts an engine and a front, with no more of a router around them.
+func startParts(t *testing.T, ln net.Listener, proto front.Protocol, memoryMB int64, places int, entries ...member.Entry) (*engine.Engine, *front.ConnManager) {
 	t.Helper()
 	cfg := testConfig(t, "127.0.0.1:1", member.List{})
 	cfg.Limits.MemoryMB = memoryMB
@@ -38,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := front.New(e, clients.Protocol{}, ln, places, nil)
+	s := front.New(e, proto, ln, places, nil)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -53,7 +68,7 @@
 		<-ended
 	})
 	e.Post(func() { (&router{Engine: e}).list(0, full(entries...)) })
-	return e, ln.Addr().String()
+	return e, s
 }
 
 // look runs do on the engine's goroutine, once what was posted before has been carried out.
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -169,7 +170,7 @@
 	for _, f := range d.fronts {
 		f.SetAdvertised(invites, phase == drain.Serving)
 		if phase >= drain.Draining {
-			f.StartDraining(d.closeBy(now))
+			f.StartDraining(d.drainLimits(now))
 		} else {
 			f.StopDraining()
 		}
@@ -188,10 +189,18 @@
 	}
 }
 
-// closeBy returns until when commands keep a connection open, for a pool that drains or ends.
-func (d *drainer) closeBy(now float64) time.Time {
-	left := d.m.Bounds(now).CloseBy - d.now()
-	return time.Now().Add(time.Duration(left * float64(time.Millisecond)))
+// drainLimits returns the limits of a pool that drains or ends.
+func (d *drainer) drainLimits(now float64) front.DrainLimits {
+	bounds := d.m.Bounds(now)
+	return front.DrainLimits{CloseBy: d.wallTime(bounds.CloseBy), DeliverBy: d.wallTime(bounds.DeliverBy)}
+}
+
+// wallTime converts a time of the machine; zero = never.
+func (d *drainer) wallTime(at float64) time.Time {
+	if math.IsInf(at, 1) {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration((at - d.now()) * float64(time.Millisecond)))
 }
 
 // ask has something done by the drainer's goroutine, and returns when it is in force.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -154,7 +154,7 @@
 			other.Close()
 		}
 	}
-	end, cancel := context.WithDeadline(context.Background(), d.closeBy(d.now()))
+	end, cancel := context.WithDeadline(context.Background(), d.drainLimits(d.now()).DeliverBy)
 	defer cancel()
 	var drained sync.WaitGroup
 	for _, f := range fronts {
