Backends: a command that was given up does not arrive later

Servers saw: a command whose attempt was given up (its client had left, its deadline had passed) arrived whole later, and ran.

Cause: a connection that is closed here is still served by the system, which goes on sending what it has accepted: up to some megabytes, to a server that takes nothing for a while or to a machine that can't be reached for seconds.

Change: abort and close discard what the server has not acknowledged and reset the connection; one whose output has arrived ends as before. Why this works: bytes that are discarded are not sent again, and without its last byte a command never runs.

--- /dev/null
+++ b/internal/backend/arrival.go
@@ -0,0 +1,22 @@
+package backend
+
+import (
+	"golang.org/x/sys/unix"
+
+	"mossproxy.example/mossproxy/internal/sock"
+)
+
+// A write that has returned says only that the system has taken a command. Until the server's system has acknowledged
+// all of it, the rest may arrive at any later time, even on a connection that was closed here: the system goes on
+// sending it. This file takes such bytes back.
+
+// discardOutput has the close of a connection discard what has not arrived at the server, and reset the
+// connection. A connection whose output has arrived ends as usual.
+func (c *conn) discardOutput() {
+	if sock.Unacknowledged(c.Conn) == 0 {
+		return
+	}
+	c.raw.Control(func(fd uintptr) { //nolint:errcheck // it may be closed already
+		unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) //nolint:errcheck // as above
+	})
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -109,6 +109,7 @@
 	}
 	c := &conn{Conn: netConn, target: t, raw: raw}
 	c.abort = func() {
+		c.discardOutput()
 		raw.Control(shutdown) //nolint:errcheck // it may be closed already
 		c.shut.Store(true)
 		c.unlink()
@@ -119,8 +120,10 @@
 	return c, nil
 }
 
-// Close closes the connection, which ends the attempt in progress on it.
+// Close closes the connection, which ends the attempt in progress on it. What has not arrived at the server is
+// not sent any more.
 func (c *conn) Close() error {
+	c.discardOutput()
 	err := c.Conn.Close()
 	c.shut.Store(true)
 	c.unlink()
