Keyed repeats are sent only if they arrive within their window

Cause: the engine and the decision compared the time of sending with the window. What is written and acknowledged may lie in the server's buffers for long; 16 KiB are acknowledged within 50 ms and read 0.4 s later.

Change: a repeat is sent only if a server that reads 0.25 ms a byte, 3 s at most, has its last byte within the window; the decision knows that time, too.

--- a/decide/api.go
+++ b/decide/api.go
@@ -125,15 +125,17 @@
 	ID     uint32
 	Class  string
 	Tenant string
-	Key    uint64   // hash of the key; see HasKey
-	HasKey bool     // Key is set
-	Left   float64  // ms until the client gives this try up
-	Hint   float64  // expected work; 0 = unknown
-	Size   float64  // bytes; 0 = unknown
-	Retry  bool     // the client tries again after a refusal or failure
-	Write  bool     // changes the value of the key
-	Owners []uint32 // servers that may serve it, its key's home first; nil = any
-	Stores bool     // not a client's: stores what a fetch returned, before the fetch's Outcome
+	Key    uint64  // hash of the key; see HasKey
+	HasKey bool    // Key is set
+	Left   float64 // ms until the client gives this try up
+	// ms until an attempt has arrived whole at its server, at the latest.
+	ArrivalTime float64
+	Hint        float64  // expected work; 0 = unknown
+	Size        float64  // bytes; 0 = unknown
+	Retry       bool     // the client tries again after a refusal or failure
+	Write       bool     // changes the value of the key
+	Owners      []uint32 // servers that may serve it, its key's home first; nil = any
+	Stores      bool     // not a client's: stores what a fetch returned, before the fetch's Outcome
 
 	Standing QuotaStatus // against its tenant's limits
 	Again    float64     // ms after which its quota status would be better; 0 = unknown
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -548,7 +548,8 @@
 }
 
 // mayAttempt reports whether a further attempt may run on s. It is the only check of that. An attempt
-// counts as possibly executed from its send on, until its outcome proves the contrary.
+// counts as possibly executed from its send on, until its outcome proves the contrary. A repeat has to arrive
+// while the servers still remember that attempt, so it is sent that much earlier.
 func (b *Balancer) mayAttempt(r *request, s *server) bool {
 	for _, a := range r.attempts {
 		if !a.mayHaveRun || r.class.Effect == Repeatable {
@@ -556,7 +557,7 @@
 		}
 		sameGroup := a.server.dedupGroup(r.class.Scope) == s.dedupGroup(r.class.Scope) &&
 			a.server != b.origin && s != b.origin
-		if r.class.Effect == Once || !sameGroup || b.now >= a.sentAt+r.class.Window-1 {
+		if r.class.Effect == Once || !sameGroup || b.now+r.ArrivalTime >= a.sentAt+r.class.Window-1 {
 			return false
 		}
 	}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -58,6 +58,21 @@
 	}
 }
 
+// Guards against a repeat that is sent within the window of an attempt, and arrives behind it.
+func TestKeyedRepeatHasTimeToArrive(t *testing.T) {
+	const window, arrival = 100, 60
+	for after, want := range map[float64]int{30: 2, 45: 1} { // sends
+		cfg := testConfig()
+		cfg.Classes[2].Window = window
+		b, h := start(t, cfg, fleet(6))
+		b.Request(100010, Request{ID: 1, Class: "keyed", Key: 9, HasKey: true, Left: 600, ArrivalTime: arrival})
+		b.Outcome(100010+after, Outcome{ID: 1, Server: h.last().server, Status: Failed, Latency: after, Load: NoLoad})
+		if len(h.sends) != want {
+			t.Errorf("%v ms after the first of a window of %v ms, arriving in %v ms: %d sends", after, window, arrival, len(h.sends))
+		}
+	}
+}
+
 func TestNoHedgedAttemptWhereNotAllowed(t *testing.T) {
 	cfg := testConfig()
 	cfg.Copies = false
--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -65,6 +65,7 @@
 func (c *conn) finishTask() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stopArrivalTimer()
 	c.busy, c.task, c.remainder = false, task{}, nil
 }
 
--- a/internal/backend/arrival.go
+++ b/internal/backend/arrival.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"time"
+
 	"golang.org/x/sys/unix"
 
 	"mossproxy.example/mossproxy/internal/sock"
@@ -10,6 +12,33 @@
 // all of it, the rest may arrive at any later time, even on a connection that was closed here: the system goes on
 // sending it. This file takes such bytes back.
 
+// limitArrival has an attempt aborted whose command has not arrived by its time. The caller holds mu.
+func (c *conn) limitArrival() {
+	arriveBy, number := c.task.try.ArriveBy, c.task.number
+	if arriveBy.IsZero() {
+		return
+	}
+	c.arrivalTimer = time.AfterFunc(time.Until(arriveBy), func() { c.abortUndelivered(number) })
+}
+
+// stopArrivalTimer stops the timer of limitArrival. The caller holds mu.
+func (c *conn) stopArrivalTimer() {
+	if c.arrivalTimer != nil {
+		c.arrivalTimer.Stop()
+		c.arrivalTimer = nil
+	}
+}
+
+// abortUndelivered aborts the attempt that is in progress on the connection if its command, of the given number,
+// has not arrived.
+func (c *conn) abortUndelivered(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy && c.commands == number && sock.Unacknowledged(c.Conn) > 0 {
+		c.abort()
+	}
+}
+
 // discardOutput has the close of a connection discard what has not arrived at the server, and reset the
 // connection. A connection whose output has arrived ends as usual.
 func (c *conn) discardOutput() {
--- a/internal/backend/arrival_test.go
+++ b/internal/backend/arrival_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"io"
 	"testing"
+	"time"
 
+	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/engine"
+	"mossproxy.example/mossproxy/internal/sock"
 )
 
 // bufferedPut returns a write that the router's system accepts at once, and that the buffers of a server that reads
@@ -16,6 +19,17 @@
 	return r
 }
 
+// arriveByHandler handles an attempt whose command must have arrived within a time limit.
+type arriveByHandler struct {
+	probeHandler
+	within time.Duration
+}
+
+// Begin implements engine.AttemptHandler.
+func (h arriveByHandler) Begin() (engine.Try, bool) {
+	return engine.Try{DeadlineMS: 400, WriteBy: time.Now().Add(wait), ArriveBy: time.Now().Add(h.within)}, true
+}
+
 // checkIncomplete reads what arrives at a server and fails the test if it is the whole value.
 func (p fakeServer) checkIncomplete(r *engine.Request) {
 	p.t.Helper()
@@ -25,6 +39,23 @@
 	}
 }
 
+// Guards against a repeat that arrives whole after the window in which servers drop it: its last bytes lay in the
+// router's own system.
+func TestCommandThatHasNotArrivedInTimeNeverDoes(t *testing.T) {
+	_, endpoint, accept := newFakeServer(t, false)
+	p := keepConn(t, endpoint, accept)
+	h := arriveByHandler{probeHandler{make(chan engine.Reply, 1)}, 100 * time.Millisecond}
+	r := bufferedPut()
+	if got, known := endpoint.Attempt(&engine.Canceler{}, r, h); known {
+		t.Fatalf("finished at once: %v", got.Status)
+	}
+	p.readCommand() // and reads no further for now
+	if got := next(t, h.result, "end"); got.Status != decide.Reset && got.Status != decide.ConnectError {
+		t.Errorf("got %v", got.Status)
+	}
+	p.checkIncomplete(r)
+}
+
 // Guards against a command that arrives whole after its attempt was given up, for its client or its deadline.
 func TestCanceledCommandThatHasNotArrivedNeverDoes(t *testing.T) {
 	_, endpoint, accept := newFakeServer(t, false)
@@ -37,3 +68,25 @@
 	next(t, replies, "end")
 	p.checkIncomplete(r)
 }
+
+// Guards against attempts that are aborted though their command has arrived, and against a limit that outlasts its
+// attempt and ends the next one on the connection.
+func TestCommandThatHasArrivedIsNotAborted(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	_, endpoint, accept := newFakeServer(t, false)
+	p := keepConn(t, endpoint, accept)
+	h := arriveByHandler{probeHandler{make(chan engine.Reply, 1)}, limit}
+	if got, known := endpoint.Attempt(&engine.Canceler{}, putCommand(), h); known {
+		t.Fatalf("finished at once: %v", got.Status)
+	}
+	p.readCommand()
+	p.readCommand() // the value
+	time.Sleep(2 * limit)
+	p.send("HD Oa1 c77\r\n")
+	if got := next(t, h.result, "receipt"); got.Status != decide.OK {
+		t.Errorf("got %v", got.Status)
+	}
+	if !sock.IsIdle(p) {
+		t.Error("the connection was not kept")
+	}
+}
--- a/internal/backend/command.go
+++ b/internal/backend/command.go
@@ -65,6 +65,7 @@
 		return got
 	}
 	c.commands, c.busy, c.remainder = work.number, true, nil
+	c.limitArrival()
 	c.traceWritten(&work)
 	if c.writeOp.n < len(encoded) {
 		c.remainder = &remainder{done: make(chan struct{})}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -56,6 +56,8 @@
 	task      task
 	writeOp   socketOp
 	remainder *remainder // of the command; nil = all was written at once
+	// Ends the attempt if its command does not arrive in time; nil = its time is not limited.
+	arrivalTimer *time.Timer
 }
 
 // task is a unit of work for a connection: an attempt, or a probe if there is no request.
--- a/internal/engine/checks.go
+++ b/internal/engine/checks.go
@@ -21,6 +21,11 @@
 	// sendTimePerByte is the assumed time until a server has read one byte of a value: the deadline is sent ahead
 	// of the value, and what lies in the server's own buffers can't be seen.
 	sendTimePerByte = 0.016
+	// slowReadTimePerByte is the longest time until a server has read one byte of a command, where a late last byte would
+	// have an effect twice. A server may take seconds to read a value that its system has accepted at once.
+	slowReadTimePerByte = 0.25
+	// maxSlowReadTime is the longest time that a server is expected to take for a whole command.
+	maxSlowReadTime = 3000
 	// maxSendShare is the largest share of the remaining time that is allowed for transmitting a long value.
 	maxSendShare = 0.5
 	// maxProcessPause is how long a process may be suspended between reading its clock and a write.
@@ -56,6 +61,10 @@
 	sendTime := min(maxSendShare*remaining, sendTimePerByte*float64(len(a.request.Value)))
 	wallNow := time.Now()
 	try := Try{DeadlineMS: max(1, remaining-sendTime-deadlineMargin), WriteBy: wallNow.Add(milliseconds(sendTime + writeSlack)), AnswerBy: wallNow.Add(milliseconds(remaining)), Asking: a.asking}
+	if a.beginBy > 0 {
+		try.ArriveBy = wallNow.Add(milliseconds(a.beginBy + a.request.maxReadTime() - now))
+		try.WriteBy = earlier(try.WriteBy, try.ArriveBy)
+	}
 	a.passedDeadline = try.DeadlineMS
 	a.traceBegun(remaining)
 	return try, true
@@ -89,6 +98,23 @@
 	return true
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// maxReadTime returns the longest time in ms until a server has read the command of a request.
+func (q *Request) maxReadTime() float64 {
+	bytes := len(q.Value)
+	for _, arg := range q.Args {
+		bytes += len(arg)
+	}
+	return min(maxSlowReadTime, slowReadTimePerByte*float64(bytes))
+}
+
 // closingSince returns the time since which a server is known to drain or be gone, 0 if it is neither.
 func (t *server) closingSince() float64 {
 	if t == nil {
@@ -98,21 +124,21 @@
 }
 
 // mayRepeat reports whether a retry of a request is allowed after the earlier attempts, and returns the
-// latest time for it to begin, 0 = no limit.
+// latest time for it to begin, 0 = no limit: its last byte has to be read within the window of each earlier one.
 func (e *Engine) mayRepeat(r *request) (beginBy float64, ok bool) {
 	if r.class.Effect == decide.Repeatable {
 		return 0, true
 	}
 	e.Guard.CountCheck(guard.Repeat)
-	for _, earlier := range r.attempts {
-		if !earlier.mayHaveRun() {
+	for _, previous := range r.attempts {
+		if !previous.mayHaveRun() {
 			continue
 		}
 		if r.class.Effect == decide.Once {
-			e.Guard.RecordViolation(guard.Repeat, r.ID, "class %s: attempt %d may have run", r.Class, earlier.index)
+			e.Guard.RecordViolation(guard.Repeat, r.ID, "class %s: attempt %d may have run", r.Class, previous.index)
 			return 0, false
 		}
-		if latest := earlier.startedAt + r.class.Window - maxProcessPause; beginBy == 0 || latest < beginBy {
+		if latest := previous.startedAt + r.class.Window - maxProcessPause - r.maxReadTime(); beginBy == 0 || latest < beginBy {
 			beginBy = latest
 		}
 	}
--- a/internal/engine/checks_test.go
+++ b/internal/engine/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"mossproxy.example/mossproxy/decide"
 	"mossproxy.example/mossproxy/internal/guard"
@@ -33,6 +34,31 @@
 	}
 }
 
+// Guards against a keyed request whose repeat begins within its window, and is read by the server behind it: a long
+// value takes time to be read, which the router can't see.
+func TestKeyedRepeatLeavesTimeForItsValue(t *testing.T) {
+	class := decide.Class{Name: "put", Effect: decide.Keyed, Scope: "all", Window: 2000}
+	for _, c := range []struct {
+		bytes  int
+		ago    float64
+		begins bool
+	}{{5, 1800, true}, {4000, 800, true}, {4000, 900, false}, {16 << 10, 0, false}, {64 << 10, 0, false}} {
+		e, r := requestWithAttempt(class, c.ago)
+		r.Value = make([]byte, c.bytes)
+		by, _ := e.mayRepeat(r)
+		a := &attempt{engine: e, request: r, index: 1, beginBy: by}
+		try, begins := a.Begin()
+		if begins != c.begins {
+			t.Errorf("%d bytes, %v ms after the first attempt, in a window of 2000 ms: begins = %v", c.bytes, c.ago, begins)
+		}
+		left := time.Duration((class.Window - c.ago) * float64(time.Millisecond))
+		if begins && (try.ArriveBy.IsZero() || time.Until(try.ArriveBy) > left || try.WriteBy.After(try.ArriveBy)) {
+			t.Errorf("%d bytes, %v ms after the first attempt: to be written in %v and there in %v, the window ends in %v", c.bytes, c.ago,
+				time.Until(try.WriteBy), time.Until(try.ArriveBy), left)
+		}
+	}
+}
+
 // Guards against a second attempt of a request that must never run twice, even if the Balancer decides on
 // one.
 func TestUnsafeRequestIsNotRepeatedWhateverIsDecided(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -433,7 +433,7 @@
 	r.timer = timer{kind: requestDeadline, request: r}
 	e.startTimer(&r.timer, remaining+answerGrace)
 	d := decide.Request{ID: r.id, Class: q.Class, Tenant: q.Tenant, Key: keyID(q.Key), HasKey: true,
-		Left: remaining, Hint: q.Hint, Size: q.Size, Retry: q.Retry, Write: q.Write, Owners: q.Owners, Stores: q.CacheFill}
+		Left: remaining, ArrivalTime: maxProcessPause + q.maxReadTime(), Hint: q.Hint, Size: q.Size, Retry: q.Retry, Write: q.Write, Owners: q.Owners, Stores: q.CacheFill}
 	if e.tenants != nil && !q.CacheFill {
 		d.Standing, d.Again = e.tenants.Arrived(now, e.balancer.TrafficShare(), q)
 		r.countedByTenants = d.Standing != decide.QuotaDenied
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -42,6 +42,9 @@
 	DeadlineMS float64 // deadline in ms that is passed to the server, at most what the client has left
 	// Latest time for writing the last byte: after that, DeadlineMS exceeds what the client has left.
 	WriteBy time.Time
+	// When the command must have arrived whole, as the server may have forgotten an earlier attempt later and would run
+	// it again; zero = no limit.
+	ArriveBy time.Time
 	// When the client stops waiting: an answer that is whole later is of no use.
 	AnswerBy time.Time
 	// The slot is being migrated: the server takes the request only with ASKING, else it redirects it.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -90,9 +90,15 @@
 }
 
 func testConfig(t testing.TB, discovery string, known member.List) *config.Config {
+	t.Helper()
+	return configOf(t, discovery, known, testSettings)
+}
+
+// configOf is a configuration with the given settings.
+func configOf(t testing.TB, discovery string, known member.List, settings string) *config.Config {
 	t.Helper()
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": json.RawMessage(testSettings)})
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": json.RawMessage(settings)})
 	if err != nil {
 		t.Fatal(err)
 	}
