Credentials: the state in force is computed from what the files hold now

Cause: contents that were refused were kept and tried with the next change of another file, whatever their own file held by then; a file that held its earlier content again was not looked at, and a new list of classes tried nothing.

Change: the state to apply is computed anew from what the files hold, whenever one of them or the classes change, a return to earlier content included; where not all goes together, the first combination that does is applied, the book first. Why this works: nothing is kept beside the files that could be applied later.

--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -1,6 +1,7 @@
 package keybook
 
 import (
+	"bytes"
 	"context"
 	"crypto/x509"
 	"encoding/pem"
@@ -39,9 +40,10 @@
 	fileCount
 )
 
-// Source watches the files that a gate's credentials are read from and applies all of them atomically. A file
-// that is invalid or inconsistent with the others stays pending until another one changes too; meanwhile the
-// previous credentials stay in use.
+// Source watches the files that a gate's credentials are read from and applies all of them atomically. Whenever a
+// file or the classes change, the state to apply is computed anew from what the files hold now. Content that is
+// invalid or inconsistent with the other files is left out, and the previous content of its file stays in use, until it
+// can be applied; content that its file no longer holds is never applied.
 type Source struct {
 	cfg   SourceConfig
 	paths [fileCount]string
@@ -50,7 +52,7 @@
 
 	mu      sync.Mutex
 	inUse   [fileCount][]byte
-	pending [fileCount][]byte // contents rejected so far, retried when another file changes; nil = none
+	latest  [fileCount][]byte // what the files hold; differs from inUse where it was rejected
 	terms   map[string]Terms
 	tenants []caller.Tenant
 	// quarantined are the parts of the credentials in use that refer to unknown names.
@@ -77,6 +79,7 @@
 	if err := s.apply(next); err != nil {
 		return nil, err
 	}
+	s.latest = next
 	return s, nil
 }
 
@@ -89,12 +92,13 @@
 }
 
 // SetClasses sets the class names that are valid in the files, after a configuration change. Tenants' terms are
-// checked against them at once, the rights file when it changes next.
+// checked against them at once. Contents that were rejected are tried again.
 func (s *Source) SetClasses(names []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cfg.Classes = names
 	s.setQuarantined(s.cfg.names().Quarantine(&Credentials{Tenants: s.tenants, Terms: s.terms}))
+	s.applyLatest()
 }
 
 // Tenants returns the tenants in use with their terms, and the epoch as Version does. Callers must not modify
@@ -156,37 +160,25 @@
 	file   int
 }
 
-// Apply applies new contents together with the pending contents of the other files, or, if that fails, alone.
-// Contents that fail both ways become pending.
+// Apply records what the file holds and applies the contents of all files, as far as they can be applied together.
+// The error says why those of this file can't.
 func (t *fileConsumer) Apply(text []byte) error {
 	s := t.source
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	combined := s.inUse
-	hasPending := false
-	for i, w := range s.pending {
-		if w != nil && i != t.file {
-			combined[i], hasPending = w, true
-		}
+	s.latest[t.file] = text
+	s.applyLatest()
+	if s.isLatest(t.file) {
+		return nil
 	}
-	combined[t.file] = text
 	alone := s.inUse
 	alone[t.file] = text
-	err := s.applyLocked(combined)
-	if err == nil {
-		s.pending = [fileCount][]byte{}
-		return nil
-	}
-	if hasPending {
-		if err = s.applyLocked(alone); err == nil {
-			s.pending[t.file] = nil
-			return nil
-		}
-	}
-	s.pending[t.file] = text
-	return err
+	return s.applyLocked(alone)
 }
 
+// Restored is Apply for contents that were applied earlier and rejected ones have replaced for a while.
+func (t *fileConsumer) Restored(text []byte) error { return t.Apply(text) }
+
 // Refused logs why the contents of the file were rejected.
 func (t *fileConsumer) Refused(err error) {
 	t.source.log.Warn("callers: file rejected, the previous contents stay in use", "file", t.source.paths[t.file], "why", strings.ReplaceAll(err.Error(), "\n", "; "))
@@ -197,6 +189,36 @@
 	t.source.log.Warn("callers: no change notifications, the file is polled four times a second", "file", t.source.paths[t.file], "why", err.Error())
 }
 
+// isLatest reports whether the contents in use of a file are those that it holds. s.mu must be held.
+func (s *Source) isLatest(file int) bool { return bytes.Equal(s.inUse[file], s.latest[file]) }
+
+// applyLatest applies what the files hold: all of it, or the first of the combinations that can be applied. Errors are
+// not returned, as each combination has its own. s.mu must be held.
+func (s *Source) applyLatest() {
+	for _, files := range combinations {
+		next, changes := s.inUse, false
+		for _, file := range files {
+			changes = changes || !s.isLatest(file)
+			next[file] = s.latest[file]
+		}
+		if changes && s.applyLocked(next) == nil {
+			return
+		}
+	}
+}
+
+// combinations are the sets of files whose latest contents are applied together with the contents in use of the
+// others, in the order in which they are tried: credentials first, as they revoke keys.
+var combinations = [][]int{
+	{credentialsFile, rightsFile, bundleFile},
+	{credentialsFile, rightsFile},
+	{credentialsFile, bundleFile},
+	{credentialsFile},
+	{rightsFile, bundleFile},
+	{rightsFile},
+	{bundleFile},
+}
+
 func (s *Source) apply(next [fileCount][]byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -54,6 +54,13 @@
 	NotificationsFailed(err error)
 }
 
+// RestoreObserver is implemented by a Consumer that keeps rejected content to apply it later.
+type RestoreObserver interface {
+	// Restored is called when the file, after rejected content, holds the content again that was applied last. An
+	// error says why it is rejected now.
+	Restored(text []byte) error
+}
+
 // File is a watched file.
 type File struct {
 	cfg            Config
@@ -146,6 +153,7 @@
 	act, nextPoll := f.debouncer.observe(f.now(), f.lastDigest)
 	switch act {
 	case actionNone:
+		f.noteRestored(text)
 		return math.Inf(1)
 	case actionRecheck:
 		return nextPoll
@@ -167,6 +175,20 @@
 	return recheckAt
 }
 
+// noteRestored forgets rejected content, as the file holds the content again that was applied last, and tells the
+// consumer.
+func (f *File) noteRestored(text []byte) {
+	if f.rejectedDigest == (digest{}) {
+		return
+	}
+	f.rejectedDigest = digest{}
+	if observer, ok := f.consumer.(RestoreObserver); ok {
+		if err := observer.Restored(text); err != nil {
+			f.consumer.Refused(err)
+		}
+	}
+}
+
 // fileStamp identifies a version of a file by its metadata. A file whose stamp differs may have changed.
 type fileStamp struct {
 	dev, ino uint64
