Credentials: rights in use that name a dropped class hold up no revocation

Cause: rights in use were checked anew, against the new classes, with each book.

Change: rights that are in use are not refused for a class that is gone. Why this works: a class that is gone takes no requests, so the rule grants nothing; new rights are checked as ever.

Test: TestDroppedClassThatTheRightsNameHoldsUpNoBook, red on the code before.

--- a/internal/keybook/desired_test.go
+++ b/internal/keybook/desired_test.go
@@ -158,3 +158,14 @@
 		}
 	}
 }
+
+// Guards against rights in use that name a class which a new configuration has dropped: they held up each later
+// change of the book, revocations among them.
+func TestDroppedClassThatTheRightsNameHoldsUpNoBook(t *testing.T) {
+	const rights = "role all { allow read, gone read }"
+	w := openWatched(t, validFile, rights, "read", "gone")
+	w.SetClasses([]string{"read"})
+	revoked := versionOf(5, "[[key]]", "[[key]]\nrevoked = 2026-12-01T12:00:01Z")
+	w.edit(credentialsFile, revoked)
+	w.check("a revocation", revoked, rights)
+}
--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -240,7 +240,11 @@
 	if b.Version == s.version && s.inUse[credentialsFile] != nil && !equalExceptIssued(next[credentialsFile], s.inUse[credentialsFile]) && b.Version != 0 {
 		return fmt.Errorf("%s: version %d is in use with other content; raise it with each change", s.cfg.CredentialsPath, b.Version)
 	}
-	c, err := s.cfg.Contents(b, next[rightsFile], next[bundleFile])
+	cfg := s.cfg
+	if s.inUse[rightsFile] != nil && bytes.Equal(next[rightsFile], s.inUse[rightsFile]) {
+		cfg.Classes = nil // a class that is gone takes no requests: rights in use that name it hold nothing up
+	}
+	c, err := cfg.Contents(b, next[rightsFile], next[bundleFile])
 	if err != nil {
 		return err
 	}
