Sock: one way to a connection's descriptor; tests of delivery share their reader

Cause: peeking, the state of a connection and the state of its output each unwrapped TLS and asked for the descriptor by code of their own; the dialects of the new tests read a value behind a line twice.

Change: rawConn, readSized.

--- a/internal/router/delivery_test.go
+++ b/internal/router/delivery_test.go
@@ -46,36 +46,31 @@
 	read func(r *bufio.Reader) (answer string, err error) // answer: whole, begun, or "" where nothing of it has come
 }
 
-// metaDialect reads answers that are a line, with a value behind it where there is one.
-var metaDialect = dialect{
-	ask: func(id string) string { return read(id, linkDeadline) + "\r\n" },
-	read: func(r *bufio.Reader) (string, error) {
+// metaDialect asks by the id of the request.
+var metaDialect = dialect{func(id string) string { return read(id, linkDeadline) + "\r\n" }, readSized("VA %d ")}
+
+// respDialect asks for one key.
+func respDialect(key string) dialect {
+	return dialect{func(string) string { return "GET " + key + "\r\n" }, readSized("$%d")}
+}
+
+// readSized returns a function that reads a line and the value behind it, whose length the line has in a format. It
+// returns other lines as they are.
+func readSized(format string) func(r *bufio.Reader) (string, error) {
+	return func(r *bufio.Reader) (string, error) {
 		line, err := r.ReadString('\n')
 		length := 0
-		if _, scan := fmt.Sscanf(line, "VA %d ", &length); err != nil || scan != nil {
+		if _, scan := fmt.Sscanf(line, format, &length); err != nil || scan != nil {
 			return strings.TrimSpace(line), err
 		}
 		_, err = io.CopyN(io.Discard, r, int64(length+len("\r\n")))
-		return "VA", err
-	},
-}
-
-// respDialect asks for one key, and reads answers that are a string with its length ahead.
-func respDialect(key string) dialect {
-	return dialect{
-		ask: func(string) string { return "GET " + key + "\r\n" },
-		read: func(r *bufio.Reader) (string, error) {
-			line, err := r.ReadString('\n')
-			length := 0
-			if _, scan := fmt.Sscanf(line, "$%d", &length); err != nil || scan != nil {
-				return strings.TrimSpace(line), err
-			}
-			_, err = io.CopyN(io.Discard, r, int64(length+len("\r\n")))
-			return "VA", err
-		},
+		return wholeValue, err
 	}
 }
 
+// wholeValue is what a dialect returns for an answer with a value.
+const wholeValue = "value"
+
 // linkedClient keeps linkDepth requests open on one connection until the router closes it, and reads slowly.
 type linkedClient struct {
 	name     string
@@ -99,12 +94,7 @@
 	for range linkDepth {
 		l.send()
 	}
-	for _, r := range l.requests {
-		if l.readOne(in, r); l.err != nil {
-			return
-		}
-	}
-	for next := linkDepth; l.err == nil; next++ {
+	for next := 0; l.err == nil; next++ {
 		l.readOne(in, l.requests[next])
 	}
 }
@@ -321,7 +311,7 @@
 			l.send()
 			in := bufio.NewReaderSize(slowLink{conn, linkPause}, linkPiece)
 			for i, r := range l.requests[:linkDepth] {
-				if answer, err := metaDialect.read(in); answer != "VA" || err != nil {
+				if answer, err := metaDialect.read(in); answer != wholeValue || err != nil {
 					t.Fatalf("answer %d of %d, to %s: %.40q, %v", i+1, linkDepth, r.id, answer, err)
 				}
 			}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -36,16 +36,9 @@
 
 // Closed reports whether either side has closed a connection, even if unread input precedes the end.
 func Closed(c net.Conn) bool {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = t.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
-		return true
+		return !errors.Is(err, errors.ErrUnsupported)
 	}
 	var events int16
 	if raw.Control(func(fd uintptr) { events = pollFD(fd) }) != nil {
@@ -72,16 +65,9 @@
 // Peek returns how many bytes (0 or 1) can be read from a connection, without consuming them or blocking.
 // At the end of the input it returns 0 and no error.
 func Peek(c net.Conn) (n int, err error) {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok { // input is TLS records, possibly without payload
-		c = t.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := rawConn(c) // with TLS, input is records, possibly without payload
 	if err != nil {
-		return 0, fmt.Errorf("peeking: %w", err)
+		return 0, err
 	}
 	if ctl := raw.Control(func(fd uintptr) { // not Read, which fails once the read deadline has passed
 		n, err = peekFD(fd)
--- a/internal/sock/unacked.go
+++ b/internal/sock/unacked.go
@@ -1,6 +1,7 @@
 package sock
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -69,7 +70,7 @@
 	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return nil, syscall.EOPNOTSUPP
+		return nil, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
