Administration: a change of a store that is behind the book comes into force

Cause: the store counted versions from its own on, while the router had a book of a higher version in force. It refused the export as older, and the API compared versions alone to tell what is in force.

Change: a change gets a version above that of the book in force, asked at each commit; what is in force is told by its content; a start with a book ahead of the store logs it. Why this works: an export is never older than the book in force, and 200 needs its content.

--- a/internal/keybook/source.go
+++ b/internal/keybook/source.go
@@ -91,6 +91,13 @@
 	return s.version, s.epoch
 }
 
+// HasApplied reports whether the credentials file in use has the given content, apart from its issue time.
+func (s *Source) HasApplied(credentials []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Equal(s.inUse[credentialsFile], credentials) || equalExceptIssued(s.inUse[credentialsFile], credentials)
+}
+
 // SetClasses sets the class names that are valid in the files, after a configuration change. Tenants' terms are
 // checked against them at once. Contents that were rejected are tried again.
 func (s *Source) SetClasses(names []string) {
--- a/internal/keybook/store.go
+++ b/internal/keybook/store.go
@@ -36,9 +36,10 @@
 
 // Store reads and changes the credentials in an underlying store. Only one process opens that at a time.
 type Store struct {
-	store *store.Store
-	actor string
-	now   func() time.Time
+	store   *store.Store
+	actor   string
+	now     func() time.Time
+	inForce func() uint64 // version of the credentials in force elsewhere; nil = none
 }
 
 // NewStore returns a Store that records actor as the author of its changes. If now is nil, time.Now is used.
@@ -46,7 +47,19 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Store{s, actor, now}
+	return &Store{store: s, actor: actor, now: now}
+}
+
+// ContinueAbove gives each change a higher version than the credentials in force have: a store that was restored or
+// imported may be behind them, and a lower version is rejected. It must be called before the first change.
+func (st *Store) ContinueAbove(inForce func() uint64) { st.inForce = inForce }
+
+// nextVersion returns the version of the change that follows the given one.
+func (st *Store) nextVersion(current uint64) uint64 {
+	if st.inForce != nil {
+		current = max(current, st.inForce())
+	}
+	return current + 1
 }
 
 // Record is the audit record of a change. It omits public keys and hashes.
@@ -173,7 +186,7 @@
 	if err != nil {
 		return 0, err
 	}
-	version = current + 1
+	version = st.nextVersion(current)
 	var b store.Batch
 	b.Expect(headKey, entryVersion)
 	b.Put(headKey, strconv.AppendUint(nil, version, 10))
@@ -458,19 +471,18 @@
 	return nil
 }
 
-// Export writes the credentials to the file that routers watch and returns their version. It replaces the
-// file atomically, so that routers see either the old or the new content.
-func (st *Store) Export(path string) (version uint64, err error) {
+// Export writes the credentials to the file that routers watch and returns their version and the content of the file.
+// It replaces the file atomically, so that routers see either the old or the new content.
+func (st *Store) Export(path string) (version uint64, text []byte, err error) {
 	b, err := st.Load()
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	b.Issued = st.now().Truncate(time.Millisecond)
-	text, err := b.Encode()
-	if err != nil {
-		return 0, err
+	if text, err = b.Encode(); err != nil {
+		return 0, nil, err
 	}
-	return b.Version, replaceFile(path, text)
+	return b.Version, text, replaceFile(path, text)
 }
 
 // replaceFile atomically replaces a file by way of a synced temporary file. One that a crash leaves behind is
--- a/internal/keybook/tenants.go
+++ b/internal/keybook/tenants.go
@@ -31,7 +31,11 @@
 }
 
 // WithActor returns a Store that names actor in its audit records.
-func (st *Store) WithActor(actor string) *Store { return &Store{st.store, actor, st.now} }
+func (st *Store) WithActor(actor string) *Store {
+	other := *st
+	other.actor = actor
+	return &other
+}
 
 // Version returns the version of the credentials; 0 = there are none.
 func (st *Store) Version() (uint64, error) {
--- a/internal/keybook/tool.go
+++ b/internal/keybook/tool.go
@@ -43,6 +43,7 @@
 	}
 	defer s.Close()
 	k := NewStore(s, t.Who, nil)
+	k.ContinueAbove(func() uint64 { return exportedVersion(t.Export) })
 	before := s.Version()
 	if err := do(k); err != nil {
 		return err
@@ -50,7 +51,7 @@
 	if t.Export == "" || s.Version() == before && exportIsCurrent(t.Export, k) {
 		return nil
 	}
-	version, err := k.Export(t.Export)
+	version, _, err := k.Export(t.Export)
 	if err != nil {
 		return fmt.Errorf("the change is committed but not exported to routers; run cottonyoke key publish to export it: %w", err)
 	}
@@ -61,16 +62,21 @@
 // exportIsCurrent reports whether a credentials file has the store's version. A crash between a change and
 // its export leaves an older file.
 func exportIsCurrent(path string, k *Store) bool {
+	version, _, err := readHead(k.store)
+	return err == nil && version > 0 && exportedVersion(path) == version
+}
+
+// exportedVersion returns the version of a credentials file; 0 if there is none, or it can't be read.
+func exportedVersion(path string) uint64 {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return false
+		return 0
 	}
 	b, err := Parse(path, text)
 	if err != nil {
-		return false
+		return 0
 	}
-	version, _, err := readHead(k.store)
-	return err == nil && b.Version == version
+	return b.Version
 }
 
 // CreateSecret creates a secret for a caller and prints it. Only its hash is stored.
@@ -191,7 +197,7 @@
 	path := t.Export
 	t.Export = ""
 	return t.WithStore(func(k *Store) error {
-		version, err := k.Export(path)
+		version, _, err := k.Export(path)
 		if err == nil {
 			fmt.Fprintf(t.Out, "%s: version %d\n", path, version)
 		}
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -25,8 +25,9 @@
 	ln     net.Listener
 	path   string // of the book file
 
-	mu       sync.Mutex
-	exported uint64 // the version in the file
+	mu           sync.Mutex
+	exported     uint64 // the version in the file
+	exportedText []byte // and its content
 
 	exportFailed chan struct{} // signals retryExports; buffered, capacity 1
 }
@@ -53,9 +54,15 @@
 			return s.known.usage.InHand(router.Lifetime{Name: name, Generation: generation})
 		},
 		Names: s.known.source.Names, Log: slog.Default()})
+	a.keeper.ContinueAbove(func() uint64 { has, _ := s.known.source.Version(); return has })
 	version, err := a.keeper.Version()
-	if has, _ := s.known.source.Version(); err == nil && version > has {
+	switch has, _ := s.known.source.Version(); {
+	case err != nil:
+	case version > has:
 		err = a.export(version)
+	case version < has:
+		slog.Warn("administration: the credentials in force are newer than the store; the next change brings into force what the store has",
+			"in_force", has, "store", version)
 	}
 	if err != nil {
 		a.ln.Close()
@@ -93,9 +100,9 @@
 	if a.exported >= version {
 		return nil
 	}
-	v, err := a.keeper.Export(a.path)
+	v, text, err := a.keeper.Export(a.path)
 	if err == nil {
-		a.exported = v
+		a.exported, a.exportedText = v, text
 		return nil
 	}
 	a.signalExportFailed()
@@ -164,9 +171,11 @@
 	return nil
 }
 
+// inForce reports whether a version, or a later one, is in force on all engines of all pools. The content tells, as
+// credentials from elsewhere may have any version.
 func (a *administration) inForce(version uint64) bool {
 	has, epoch := a.s.known.source.Version()
-	if has < version {
+	if has < version || !a.exportApplied() {
 		return false
 	}
 	for _, p := range a.s.pools {
@@ -176,3 +185,10 @@
 	}
 	return true
 }
+
+// exportApplied reports whether the router uses what was exported last.
+func (a *administration) exportApplied() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.s.known.source.HasApplied(a.exportedText)
+}
--- a/internal/service/quarantine_test.go
+++ b/internal/service/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -147,3 +148,35 @@
 	}
 	o.refusedWithin(revokedWithin, "a", time.Now())
 }
+
+// versionLine is the line of a book that has its version.
+var versionLine = regexp.MustCompile(`(?m)^version = \d+$`)
+
+// Guards against a change that is answered as in force and is not, as the store is behind the credentials in force: after
+// a restore, an import, or a file that was written by hand.
+func TestChangeOfAStoreBehindTheCredentialsInForceCounts(t *testing.T) {
+	raise := func(o *office, version string) {
+		text, err := os.ReadFile(filepath.Join(o.dir, "callers.toml"))
+		if err != nil {
+			o.t.Fatal(err)
+		}
+		raised := versionLine.ReplaceAllString(string(text), "version = "+version)
+		if raised == string(text) {
+			o.t.Fatal("the book has no version")
+		}
+		o.write("callers.toml", raised)
+	}
+	t.Run("at the start", func(t *testing.T) {
+		o := newOffice(t, func(g *gated) *Service {
+			raise(&office{gated: g}, "50")
+			return g.start("r0")
+		})
+		o.suspend("a")
+	})
+	t.Run("while it runs", func(t *testing.T) {
+		o := startOffice(t)
+		raise(o, "900")
+		standintest.Until(t, "the file to be in force", func() bool { has, _ := o.s.known.source.Version(); return has == 900 })
+		o.suspend("a")
+	})
+}
