Fronts: a client that reads nothing does not hold the slots of others

Callers saw (in no release): with all slots taken by clients that ask for much and read nothing, a new client was answered after 8 s.

Cause: did not evict connections with unacknowledged answers, without any bound, and waited 5 s for an evicted one's client to acknowledge something. Found by reading what the new wait does to crowds.

Change: answers on their way keep a connection from eviction for 1 s; an evicted one is closed when its client has acknowledged nothing for 0.25 s. Why this works: what such a client has not taken by then will not arrive, and a slow one still makes progress.

--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -19,6 +19,10 @@
 	// maxCrossingTime is how long answers may take to arrive whose connection is no longer read: what the client
 	// sends in that time has no answer.
 	maxCrossingTime = 50 * time.Millisecond
+	// deliveryGrace is how long a connection is not evicted for its idleness while its answers are on their way.
+	deliveryGrace = time.Second
+	// evictionPatience is how long the client of an evicted connection may acknowledge nothing: others wait for its slot.
+	evictionPatience = 250 * time.Millisecond
 	// deliveryReserve is by what factor a client may take its answers more slowly than before.
 	deliveryReserve = 1.25
 	// deliveryMargin is how long before the limit a client should have its answers: it acknowledges in steps.
@@ -30,6 +34,22 @@
 // undelivered reports whether answers that were written have not been acknowledged.
 func (c *clientConn) undelivered() bool { return sock.Unacknowledged(c.Conn) > 0 }
 
+// awaitsAcknowledgment reports whether answers of a connection that has been idle since the given time are likely to be on
+// their way. It bounds by time for how long a client that reads nothing holds its slot.
+func (c *clientConn) awaitsAcknowledgment(idleSince time.Time) bool {
+	return time.Since(idleSince) < deliveryGrace && c.undelivered()
+}
+
+// deliveryPatience returns for how long a client may acknowledge nothing until its answers are given up.
+func (c *clientConn) deliveryPatience() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dropped {
+		return evictionPatience
+	}
+	return answerWriteTimeout
+}
+
 // observeDelivery records what the client has acknowledged so far. ok is false if that is not known. The caller
 // holds mu.
 func (c *clientConn) observeDelivery() (output sock.SendState, ok bool) {
@@ -97,7 +117,7 @@
 	if !rejected && !c.undelivered() || !c.closeWrite() {
 		return
 	}
-	conn := c.transport()
+	conn, patience := c.transport(), c.deliveryPatience()
 	input, discarded := make([]byte, maxLineBytes), 0
 	lingerUntil, lastProgress := time.Now(), time.Now()
 	if rejected {
@@ -109,7 +129,7 @@
 			unacked, lastProgress = left, now
 		}
 		lingers := now.Before(lingerUntil) && discarded < lingerBytes
-		if unacked == 0 && !lingers || now.Sub(lastProgress) > answerWriteTimeout {
+		if unacked == 0 && !lingers || now.Sub(lastProgress) > patience {
 			return
 		}
 		conn.SetReadDeadline(now.Add(deliveryPollInterval))
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		current, found := longest[c.tenant]
-		if idle && (!found || since.Before(current.since)) && !c.undelivered() {
+		if idle && (!found || since.Before(current.since)) && !c.awaitsAcknowledgment(since) {
 			longest[c.tenant] = idleConn{c, since}
 		}
 	}
--- a/internal/router/delivery_test.go
+++ b/internal/router/delivery_test.go
@@ -318,3 +318,27 @@
 		})
 	}
 }
+
+// Guards against clients that ask for much, read nothing, and hold the slots of others: their answers will never arrive.
+func TestClientThatReadsNothingHoldsNoSlot(t *testing.T) {
+	const within = 3 * time.Second // a second in which its answers may be on their way, and its eviction
+	s := startFake(t, longAnswer(linkValue))
+	_, addr := startFront(t, clients.Protocol{}, 2, box("s-0000000b", s.Addr))
+	for i := range 2 {
+		silent := &linkedClient{name: fmt.Sprintf("c%d", i), speaks: metaDialect, conn: dialLink(t, addr)}
+		defer silent.conn.Close()
+		for range linkDepth {
+			silent.send()
+		}
+		for range linkDepth {
+			next(t, s.Seen, "request at the server")
+		}
+	}
+	began := time.Now()
+	if got := dial(t, addr).ask("mn"); got != "MN" {
+		t.Errorf("%q", got)
+	}
+	if took := time.Since(began); took > within {
+		t.Errorf("answered after %v", took)
+	}
+}
