Discovery: calls that end, fail and succeed again are logged

Operators saw nothing of a call to discovery that failed, so the causes of a late list (call given up late, pause before the next one, list not taken, attempts that go on) looked alike.

Change: each call's end with its time at the debug level; the first failure and the return as one record each.

--- a/internal/member/discovery.go
+++ b/internal/member/discovery.go
@@ -22,6 +22,7 @@
 	onList       func(l List)  // called with each list
 	onFailure    func()        // called after each failure
 	knownVersion int64         // version of the list in use, may be 0; -1 = request the full list
+	unreachable  bool          // the last call failed
 }
 
 // discoveryTiming holds the timeouts of discovery calls. A long poll without an answer looks like a list that
@@ -125,13 +126,22 @@
 			timeout = d.timing.pollWait + d.timing.pollSlack
 		}
 		l, err := d.fetchList(ctx, url, timeout)
+		slog.Debug("discovery: call ended", "url", url, "took", time.Since(start), "version", l.Version, "changes", len(l.Servers), "err", err)
 		if err != nil {
+			if ctx.Err() == nil && !d.unreachable {
+				d.unreachable = true
+				slog.Warn("discovery: call failed, calling again", "url", url, "took", time.Since(start), "err", err)
+			}
 			if !d.onDemand {
 				d.knownVersion = -1
 			}
 			return succeeded
 		}
 		succeeded = true
+		if d.unreachable {
+			d.unreachable = false
+			slog.Info("discovery: reached again", "version", l.Version)
+		}
 		if l.Version < d.knownVersion {
 			d.distrust(l)
 			continue
