--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -25,9 +25,24 @@
 	mu      sync.Mutex
 	lists   []member.List // the whole list first, then changes
 	changed chan struct{}
+	silence chan struct{} // closed when the open calls fall silent
 	down    bool
 }
 
+// Silence has the calls that are open fall silent: nothing more comes on their connections.
+func (d *Directory) Silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.silence)
+	d.silence = make(chan struct{})
+}
+
+func (d *Directory) silenced() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.silence
+}
+
 // Down has calls fail from now on, watches too, or no longer.
 func (d *Directory) Down(yes bool) {
 	d.mu.Lock()
@@ -53,7 +68,7 @@
 		return nil, fmt.Errorf("stand-in discovery: %w", err)
 	}
 	life, stop := context.WithCancel(context.Background())
-	d := &Directory{Listener: ln, Calls: make(chan string, maxCalls), stop: stop, lists: []member.List{first}, changed: make(chan struct{})}
+	d := &Directory{Listener: ln, Calls: make(chan string, maxCalls), stop: stop, lists: []member.List{first}, changed: make(chan struct{}), silence: make(chan struct{})}
 	d.srv = &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return life }}
 	d.wg.Go(func() { d.srv.Serve(ln) }) //nolint:errcheck // ends when it is closed
 	return d, nil
@@ -85,6 +100,7 @@
 	after := r.URL.Query().Get("after")
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	end := time.After(time.Duration(ms) * time.Millisecond)
+	silence := d.silenced()
 	for {
 		if d.isDown() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -96,6 +112,9 @@
 			return
 		}
 		select {
+		case <-silence:
+			<-r.Context().Done() // the router has given the call up
+			return
 		case <-changed:
 		case <-end:
 			v, _ := strconv.ParseInt(after, 10, 64)
