Lists that are asked for: routers of a tier of any size call again within 4 s

The pause behind a failed call, or a subscription that broke, was 0.5 to 1.5 s times a tenth of the tier, doubled twice: 1.2 to 14 s with 24 routers, 15 to 30 s with 300; the first call came within 8 s.

Change: decide/lists.go holds these decisions (out of decide.go). Each call comes within 4 s, however long the outage was, spread over them in a tier of more than ten. A subscription that breaks is no failed call.

TestPausesBetweenCallsForAListAreBounded allowed 8 s for the first call and 30 s for others, by MustAsk; it asks for 4 s now, in five sizes, and keeps the lower bound. New beside it: TestPausesGrowWhereCallsForAListWaitInTurn, TestDrainIsKnownInTimeAfterAStart.

--- a/decide/api.go
+++ b/decide/api.go
@@ -332,7 +332,7 @@
 		startedAt: -1, retryBudget: 10, fetchLimit: initialFetchLimit(shares), waitShare: 0.2,
 		connKeep:     cfg.ConnIdle,
 		trafficShare: 1 / float64(cfg.Routers),
-		nextProbe:    int(seed % 4096), watchAt: math.Inf(1), servers: map[uint32]*server{},
+		nextProbe:    int(seed % 4096), listCalls: newListCalls(), servers: map[uint32]*server{},
 		zones: map[string]*zone{}, keys: map[uint64]*keyTraffic{},
 		requests: map[uint32]*request{}}
 	b.setUpClasses()
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,25 +13,22 @@
 	maxBucketsPerServer = 1024 // buckets that a server claims at most, whatever its weight
 	maxCandidates       = 6    // candidate servers of a key
 
-	minHotArrivals       = 1.5   // decayed arrivals from which a key is solved on its own
-	maxHotKeys           = 32    // keys solved on their own: they hold most of what one server cannot serve
-	solveTolerance       = 1e-3  // relative change of F below which the sweeps end
-	maxSolveSweeps       = 40    // sweeps for one key, to bound its work
-	newtonStep           = 0.5   // step size of equation (10)
-	targetUtilisation    = 0.9   // utilisation to which the rates are scaled for solving, as in the paper
-	maxChannels          = 256   // channels of a modelled server: the cost of a delay grows with them
-	defaultChannelsTime  = 4000  // capacity times mean latency in ms, if capacity is unknown: four channels
-	minTrafficShare      = 0.5   // least own traffic, as a part of an equal share, whatever reports say
-	housekeepInterval    = 100   // ms between two rounds of housekeeping
-	solveInterval        = 1000  // ms between two regular solves
-	minSolveInterval     = 250   // ms between two solves when one is requested: list updates come in bursts
-	listCallTimeout      = 15000 // ms without an answer after which the list is requested again
-	listCallSpread       = 1000  // ms of spread of the first list calls in a large tier, for each ten routers
-	maxListCallDoublings = 2     // doublings of the pause between failing list calls, at most
-	probeInterval        = 700   // ms between two probes of a server: reports are valid for about a second
-	probesPerRequest     = 0.15  // probe budget that a request adds
-	maxSavedProbes       = 4     // upper bound of the probe budget
-	staleAfter           = 10000 // ms after which a stored key or a latency floor says little
+	minHotArrivals      = 1.5   // decayed arrivals from which a key is solved on its own
+	maxHotKeys          = 32    // keys solved on their own: they hold most of what one server cannot serve
+	solveTolerance      = 1e-3  // relative change of F below which the sweeps end
+	maxSolveSweeps      = 40    // sweeps for one key, to bound its work
+	newtonStep          = 0.5   // step size of equation (10)
+	targetUtilisation   = 0.9   // utilisation to which the rates are scaled for solving, as in the paper
+	maxChannels         = 256   // channels of a modelled server: the cost of a delay grows with them
+	defaultChannelsTime = 4000  // capacity times mean latency in ms, if capacity is unknown: four channels
+	minTrafficShare     = 0.5   // least own traffic, as a part of an equal share, whatever reports say
+	housekeepInterval   = 100   // ms between two rounds of housekeeping
+	solveInterval       = 1000  // ms between two regular solves
+	minSolveInterval    = 250   // ms between two solves when one is requested: list updates come in bursts
+	probeInterval       = 700   // ms between two probes of a server: reports are valid for about a second
+	probesPerRequest    = 0.15  // probe budget that a request adds
+	maxSavedProbes      = 4     // upper bound of the probe budget
+	staleAfter          = 10000 // ms after which a stored key or a latency floor says little
 )
 
 // Time constants of exponential decay, in ms.
@@ -130,19 +127,11 @@
 func (b *Balancer) Servers(now float64, kind ListKind, entries []Entry) {
 	b.advance(now)
 	if kind == ListFailed {
-		// The pause is random, or all routers would call at once again. The list service works through its
-		// queue in order, calls that have timed out included: hundreds of retries a second would keep it
-		// permanently overloaded.
-		pause := (500 + 1000*b.rng.Float64()) * b.tierScale() *
-			math.Exp2(float64(min(b.listFailures, maxListCallDoublings)))
-		b.watchAt = now + b.boundListWait(3, pause)
-		b.listFailures++
+		b.scheduleListCall()
 		return
 	}
-	b.listFailures = 0
-	if b.watchAt = math.Inf(1); b.cfg.AskList && kind == Restored {
-		// In a small tier the next round of housekeeping requests the list.
-		b.watchAt = now + b.boundListWait(0.8, listCallSpread*(b.tierScale()-1))*b.rng.Float64()
+	if b.listCalls.received(); b.cfg.AskList && kind == Restored {
+		b.scheduleFirstCall()
 	}
 	for _, s := range b.applyList(kind, entries) {
 		if s.Started > now-b.cfg.Cold { // a new process starts with a clean record
@@ -748,8 +737,8 @@
 	if since := b.now - b.solvedAt; since >= solveInterval || b.solveNeeded && since >= minSolveInterval {
 		b.solve()
 	}
-	if b.now >= b.watchAt {
-		b.watchAt = b.now + listCallTimeout
+	if b.now >= b.listCalls.dueAt {
+		b.listCalls.call(b.now)
 		b.host.WatchList()
 	}
 	// Requests pay for probes: in a large fleet, a bound on the age of reports cost many probes for each
--- a/decide/lists_test.go
+++ b/decide/lists_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math/rand/v2"
 	"testing"
 )
 
@@ -78,23 +79,64 @@
 	}
 }
 
-// List updates count as announced after MustAsk: neither the spread of first calls nor the pauses may grow
-// beyond it.
+// Guards against requests at servers that drain: a router of a large tier waited up to 45 s until it asked again. List updates
+// count as announced 6 s after the service could be reached: neither the spread of first calls nor the pauses between
+// calls, however many have failed, may grow beyond what leaves time for the answer.
 func TestPausesBetweenCallsForAListAreBounded(t *testing.T) {
+	const longest = 4000 // ms
+	for _, routers := range []int{1, 24, 30, 300, 1000} {
+		cfg := testConfig()
+		cfg.AskList, cfg.Routers, cfg.MustAsk = true, routers, 10000
+		for seed := range uint64(50) {
+			b, h := start(t, cfg, fleet(3))
+			b.rng = rand.New(rand.NewPCG(seed, 1))
+			now := 1e5
+			if b.Servers(now, Restored, fleet(3)); b.listCalls.dueAt > now+longest {
+				t.Fatalf("%d routers: first call after %v ms", routers, b.listCalls.dueAt-now)
+			}
+			for n := range 6 {
+				for calls := h.watches; h.watches == calls; now += housekeepInterval {
+					b.Timer(now, tickToken)
+				}
+				if b.Servers(now, ListFailed, nil); b.listCalls.dueAt <= now+minListRetryPause || b.listCalls.dueAt > now+longest {
+					t.Fatalf("%d routers: call after %d failed ones after %v ms", routers, n+1, b.listCalls.dueAt-now)
+				}
+			}
+			b.Servers(now, Changes, nil)
+			if b.Servers(now, ListFailed, nil); b.listCalls.dueAt > now+longest {
+				t.Fatalf("%d routers: call after a broken subscription after %v ms", routers, b.listCalls.dueAt-now)
+			}
+		}
+	}
+}
+
+// Guards against a crowded service that is kept crowded: its calls fail after they have waited in turn. The first pause
+// behind such a call is bounded as any other, later ones only by MustAsk.
+func TestPausesGrowWhereCallsForAListWaitInTurn(t *testing.T) {
+	const longest = 4000 // ms
 	cfg := testConfig()
-	cfg.AskList, cfg.Routers, cfg.MustAsk = true, 1000, 10000
+	cfg.AskList, cfg.Routers, cfg.MustAsk = true, 80, 10000
 	for seed := range uint64(50) {
-		b, err := New(cfg, seed, &fakeHost{})
-		if err != nil {
-			t.Fatal(err)
+		b, h := start(t, cfg, fleet(3))
+		b.rng = rand.New(rand.NewPCG(seed, 1))
+		now := 1e5
+		b.Servers(now, Restored, fleet(3))
+		for n := range 6 {
+			for calls := h.watches; h.watches == calls; now += housekeepInterval {
+				b.Timer(now, tickToken)
+			}
+			now += 2000
+			b.Servers(now, ListFailed, nil)
+			pause := b.listCalls.dueAt - now
+			if grows := pause > longest; grows != (n > 0) || pause > 3*cfg.MustAsk {
+				t.Fatalf("call after %d ones that had waited in turn after %v ms", n+1, pause)
+			}
 		}
-		if b.Servers(1e5, Restored, fleet(3)); b.watchAt > 1e5+cfg.MustAsk*0.8 {
-			t.Fatalf("first call after %v ms", b.watchAt-1e5)
+		for calls := h.watches; h.watches == calls; now += housekeepInterval {
+			b.Timer(now, tickToken)
 		}
-		for range 6 {
-			if b.Servers(1e5, ListFailed, nil); b.watchAt <= 1e5+500 || b.watchAt > 1e5+3*cfg.MustAsk {
-				t.Fatalf("next call after %v ms", b.watchAt-1e5)
-			}
+		if b.Servers(now, ListFailed, nil); b.listCalls.dueAt > now+longest { // it may be down, and back at once
+			t.Fatalf("call after one that was refused at once after %v ms", b.listCalls.dueAt-now)
 		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -68,8 +68,7 @@
 	medianFloor    float64       // the same, by the lowest recent value of each server
 	sizesKnown     bool          // whether all listed servers have a size
 	trafficShare   float64       // estimated share of all traffic that this router handles
-	watchAt        float64       // when to ask for the list again
-	listFailures   int           // consecutive failed calls for the list
+	listCalls      listCalls     // for the list, where it has to be asked for
 	lateAt, lateBy float64       // when this router itself was last late, and by how many ms; 0 = never
 }
 
@@ -588,14 +587,6 @@
 	return 0
 }
 
-// boundListWait limits a wait before the next call for the list to a part of Config.MustAsk.
-func (b *Balancer) boundListWait(share, wait float64) float64 {
-	if b.cfg.MustAsk > 0 {
-		return min(wait, share*b.cfg.MustAsk)
-	}
-	return wait
-}
-
 // sendSparsity is near 1 if seconds pass between two own sends to a server, near 0 if there are many.
 func (b *Balancer) sendSparsity() float64 {
 	return 1 - math.Exp(-float64(len(b.serverList))/(2*b.perSecond(&b.arrivals, keyRateTau)+0.01))
--- a/internal/member/tier_test.go
+++ b/internal/member/tier_test.go
@@ -368,6 +368,7 @@
 // discoveryTrouble is what becomes of discovery before a server drains.
 type discoveryTrouble struct {
 	name    string
+	woken   bool // a change has woken all routers just before
 	fault   serviceFault
 	lasting bool          // until the length is over
 	length  time.Duration // from the fault to the drain
@@ -375,6 +376,10 @@
 
 var discoveryTroubles = []discoveryTrouble{
 	{name: "watches fall silent", fault: silent, length: 500 * time.Millisecond},
+	{name: "watches fall silent together", woken: true, fault: silent, length: 500 * time.Millisecond},
+	{name: "watches are reset", fault: reset, length: 100 * time.Millisecond},
+	{name: "away", fault: refused, lasting: true, length: outage},
+	{name: "away for long", fault: refused, lasting: true, length: 10 * outage},
 	{name: "cut off", fault: silent, lasting: true, length: outage},
 }
 
@@ -400,6 +405,10 @@
 		time.Sleep(settledAfter)
 		settled = time.Now()
 		time.Sleep(usualCalls)
+		if trouble.woken {
+			service.change(false)
+			time.Sleep(workOf(routers) * time.Duration(routers))
+		}
 		broke = time.Now()
 		service.fail(trouble.fault, trouble.lasting)
 		time.Sleep(trouble.length)
@@ -438,6 +447,25 @@
 	}
 }
 
+// Guards against requests at servers that drain, sent by routers that have started anew: they hold a list from before the
+// drain, and ask for a new one too late.
+func TestDrainIsKnownInTimeAfterAStart(t *testing.T) {
+	for _, routers := range tierSizes {
+		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := newQueuedService(workOf(routers))
+				service.change(true)
+				began := time.Now()
+				for _, r := range playTier(t, routers, service, func() { time.Sleep(settledAfter) }) {
+					if took := r.drainedAt.Sub(began); r.drainedAt.IsZero() || took > announcedWithin+drainGrace {
+						t.Errorf("%s knows of the drain after %v", r.host, took)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a router that never gets a list, as it gives up each call of a discovery service that takes long for its
 // answers.
 func TestServiceThatTakesLongIsHeard(t *testing.T) {
