Discovery: an agent that does not answer is asked again after 50 ms at most

Cause: behind a call that got no answer in 0.25 s the router paused for 0.1 to 0.5 s, so the list of the return was read up to 0.75 s after it. The pause was short only where it followed an answer. It is there to spread routers, but an agent has one router.

Change: the pause is 25 to 50 ms for an agent, whatever came before (100 to 500 ms for a shared service, as before, where the decision's own pause is longer).

--- a/internal/member/discovery.go
+++ b/internal/member/discovery.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -79,11 +78,7 @@
 				return
 			}
 		}
-		// Random, so that routers do not all call at once after an outage.
-		pause := 100*time.Millisecond + rand.N(400*time.Millisecond)
-		if d.pollUntilError(ctx) {
-			pause = min(pause, d.timing.maxRetryPause)
-		}
+		d.pollUntilError(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -92,16 +87,15 @@
 		default:
 		}
 		d.onFailure()
-		sleep(ctx, pause)
+		sleep(ctx, d.timing.retryPause.draw())
 	}
 }
 
-// pollUntilError requests the list and then its changes until a call fails. It reports whether any call
-// succeeded.
+// pollUntilError requests the list and then its changes until a call fails.
 //
 // A call to a shared service that gets no answer is no failure: nothing has refused it, and what it missed must be known
 // soon. It is repeated over a new connection.
-func (d *Discovery) pollUntilError(ctx context.Context) (succeeded bool) {
+func (d *Discovery) pollUntilError(ctx context.Context) {
 	defer d.dropOverdue()
 	for {
 		c := d.nextCall()
@@ -111,7 +105,6 @@
 		d.logEnd(ctx, c, took, l, err)
 		switch {
 		case err == nil:
-			succeeded = true
 			d.accept(l)
 			if !l.Full && len(l.Servers) == 0 && took < minPollInterval {
 				// Avoid a busy loop with an agent that does not hold calls open. A delay of up to 200 ms does no
@@ -128,7 +121,7 @@
 			if !d.onDemand {
 				d.knownVersion = -1
 			}
-			return succeeded
+			return
 		}
 	}
 }
--- a/internal/member/timing.go
+++ b/internal/member/timing.go
@@ -15,7 +15,7 @@
 	firstPollWait    waitRange     // for the first poll of a shared service, whose answer shows that it is there
 	pollWait         waitRange     // how long discovery may hold a long poll open
 	pollSlack        time.Duration // added to the wait of a long poll for its timeout
-	maxRetryPause    time.Duration // upper limit of the pause after a failure that follows a successful call
+	retryPause       waitRange     // after a failure, at least
 	silentRetryPause waitRange     // after a call of a shared service that got no answer
 }
 
@@ -29,12 +29,14 @@
 
 var (
 	// agentTiming is for an agent on the router's own machine, whose answers are immediate and cheap. Its updates must
-	// take effect within 500 ms, even one that is lost because the connection ends.
+	// take effect within 500 ms, even one that is lost because the connection ends, or that it has at the end of an
+	// outage.
 	agentTiming = discoveryTiming{
 		listTimeout: 250 * time.Millisecond, firstListTimeout: 250 * time.Millisecond, longestCall: 250 * time.Millisecond,
 		stallTimeout: 250 * time.Millisecond,
 		pollWait:     waitRange{2 * time.Second, 2 * time.Second},
-		pollSlack:    250 * time.Millisecond, maxRetryPause: 50 * time.Millisecond,
+		pollSlack:    250 * time.Millisecond,
+		retryPause:   waitRange{25 * time.Millisecond, 50 * time.Millisecond},
 	}
 	// sharedTiming is for a discovery service that all routers share and that handles calls one after the other. Calls
 	// are therefore few and long. An update that a silent poll has lost counts as announced 2 s after the wait of that
@@ -42,10 +44,11 @@
 	// it and could be reached: by then a call that got no answer is repeated, and the repetition answered.
 	sharedTiming = discoveryTiming{
 		listTimeout: 5 * time.Second, firstListTimeout: 6 * time.Second, longestCall: 15 * time.Second,
-		stallTimeout:  3500 * time.Millisecond,
-		firstPollWait: waitRange{500 * time.Millisecond, time.Second},
-		pollWait:      waitRange{8 * time.Second, 12 * time.Second},
-		pollSlack:     time.Second, maxRetryPause: 500 * time.Millisecond,
+		stallTimeout:     3500 * time.Millisecond,
+		firstPollWait:    waitRange{500 * time.Millisecond, time.Second},
+		pollWait:         waitRange{8 * time.Second, 12 * time.Second},
+		pollSlack:        time.Second,
+		retryPause:       waitRange{100 * time.Millisecond, 500 * time.Millisecond},
 		silentRetryPause: waitRange{100 * time.Millisecond, 300 * time.Millisecond},
 	}
 )
