Discovery: lists of the largest fleet are read, with any indent

The router read 1 MiB of it, refused the rest as no JSON, asked again, and never had a list: servers that drain were used on, new ones never.

Cause: a bound on the text, so the indent counted.

--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -156,11 +155,7 @@
 		return l, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	defer time.AfterFunc(maxListTime, giveUp).Stop()
-	body, err := io.ReadAll(io.LimitReader(stallReader{resp.Body, stall, d.timing.stallTimeout}, maxListBytes))
-	if err == nil {
-		err = json.Unmarshal(body, &l)
-	}
-	return l, err //nolint:wrapcheck // as above
+	return decodeList(stallReader{resp.Body, stall, d.timing.stallTimeout})
 }
 
 // stallReader reads a body of which more has to come within a time after each read.
--- a/internal/member/discovery.go
+++ b/internal/member/discovery.go
@@ -31,7 +31,6 @@
 const (
 	dialTimeout     = time.Second
 	minPollInterval = 50 * time.Millisecond // pause after an immediate empty answer
-	maxListBytes    = 1 << 20               // a few thousand servers
 	maxListTime     = 5 * time.Second       // for a list to come whole once it has begun
 	maxHeaderBytes  = 64 << 10
 )
