--- a/internal/fleettest/soak/plan.go
+++ b/internal/fleettest/soak/plan.go
@@ -21,6 +21,7 @@
 	CloseIdle     Kind = "close"         // a cache server resets all its connections
 	DrainServer   Kind = "drain"         // discovery says that a cache server drains, and later that it is active
 	DiscoveryDown Kind = "discovery"     // discovery is away
+	SilentWatches Kind = "silent"        // the open watches of discovery fall silent; new calls are answered
 	HoldUp        Kind = "hold-up"       // a router is stopped for 0.15 s
 	Reload        Kind = "reload"        // a router reads its configuration again
 	Terminate     Kind = "terminate"     // a router is told to end, and killed at the earliest time; another takes its place
--- a/internal/fleettest/soak/play.go
+++ b/internal/fleettest/soak/play.go
@@ -50,6 +50,7 @@
 	processes []*process
 
 	discoveryBack time.Time // when discovery last came back
+	silentUntil   time.Time // when routers count as notified of what their silent watches have missed
 	problems      []Violation
 	wg            sync.WaitGroup // faults
 }
@@ -254,6 +255,8 @@
 		w.caches[f.Target].closeAll()
 	case DrainServer:
 		w.drain(ctx, f)
+	case SilentWatches:
+		w.silenceWatches()
 	case DiscoveryDown:
 		w.directory.Down(true)
 		waited(ctx, f.For)
@@ -321,6 +324,9 @@
 	if back := w.discoveryBack.Add(notifiedWithin); back.After(now) {
 		return back
 	}
+	if w.silentUntil.After(now) {
+		return w.silentUntil
+	}
 	for _, f := range w.plan.Faults {
 		from := w.began.Add(f.At)
 		if f.Kind == DiscoveryDown && !now.Before(from) && now.Before(from.Add(f.For)) {
--- a/internal/fleettest/soak/process.go
+++ b/internal/fleettest/soak/process.go
@@ -19,6 +19,7 @@
 // settings are what the routers of a play are told.
 type settings struct {
 	Routers        int
+	Asked          bool // routers ask for their lists
 	Classes        []Class
 	ConnectTimeout time.Duration
 	Cancel         bool
@@ -53,14 +54,18 @@
 
 // object is the platform's settings object.
 func (s settings) object(me int) map[string]any {
+	discovery := "push"
+	if s.Asked {
+		discovery = "ask"
+	}
 	return map[string]any{
 		"balancers": s.Routers, "myNumber": me, "zone": "a", "categories": s.categories(),
 		"projects": []map[string]any{{"name": "t", "quotaPerS": 1e5}},
 		"kinds":    []string{"box", "origin"}, "familyInfo": map[string]any{"mode": "aside", "originKind": 1},
-		"discovery": "push", "weights": "nominal", "loadInfo": map[string]any{"columns": []string{"rps", "cpu"}, "how": "answers"},
+		"discovery": discovery, "weights": "nominal", "loadInfo": map[string]any{"columns": []string{"rps", "cpu"}, "how": "answers"},
 		"caps": map[string]any{"cancel": s.Cancel, "mayProbe": true, "retryAfter": true, "maxAttempts": maxAttempts, "connIdle": 3000,
 			"connectTimeout": s.ConnectTimeout.Milliseconds()},
-		"rules": map[string]any{"cold": s.ColdPhase.Milliseconds(), "coldFrom": s.ColdFrom, "overloadFactor": s.FallFactor, "overloadFor": s.FallFor.Milliseconds()},
+		"rules": map[string]any{"cold": s.ColdPhase.Milliseconds(), "coldFrom": s.ColdFrom, "overloadFactor": s.FallFactor, "overloadFor": s.FallFor.Milliseconds(), "mustAskIn": 10000},
 	}
 }
 
--- a/internal/fleettest/soak/soak_test.go
+++ b/internal/fleettest/soak/soak_test.go
@@ -16,6 +16,7 @@
 	first   = flag.Uint64("soak.first", 1, "the first seed")
 	routers = flag.Int("soak.routers", 12, "most routers of a play; 10 are the least")
 	length  = flag.Duration("soak.length", 10*time.Second, "for which clients send")
+	asked   = flag.Int("soak.asked", 2, "how many seeds are played with routers that ask for their lists")
 	// To compare with an earlier version.
 	program = flag.String("soak.program", "", "router program that is played; built from this tree where it is empty")
 )
@@ -78,3 +79,25 @@
 	}
 	t.Logf("exercised in all plays: %v %v", slices.Sorted(maps.Keys(total)), total)
 }
+
+// askedLength is for how long clients send to routers that ask for their lists: what a silent watch of 12 s has missed is
+// notified by then.
+const askedLength = 24 * time.Second
+
+// Guards against requests at servers that drain where lists are asked for, beside all other faults: watches had fallen silent
+// or discovery was away, and routers asked too late.
+func TestSoakWhereListsAreAskedFor(t *testing.T) {
+	drained := 0
+	for i := range *asked {
+		plan := DrawAsked(*first+uint64(i), Size{Routers: [2]int{min(10, *routers), *routers}, Length: askedLength})
+		r, err := Play(t.Context(), *program, t.TempDir(), plan, nil)
+		if err != nil {
+			t.Fatalf("seed %d: %v", plan.Seed, err)
+		}
+		report(t, plan, r)
+		drained += r.Checked[Drain]
+	}
+	if drained == 0 && *asked > 0 {
+		t.Error("no server has drained")
+	}
+}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -26,21 +26,38 @@
 	lists   []member.List // the whole list first, then changes
 	changed chan struct{}
 	silence chan struct{} // closed when the open calls fall silent
+	open    map[*OpenCall]struct{}
 	down    bool
 }
 
-// Silence has the calls that are open fall silent: nothing more comes on their connections.
-func (d *Directory) Silence() {
+// OpenCall is a call that waits for a change.
+type OpenCall struct {
+	At   time.Time
+	Wait time.Duration // for which it may be held open
+}
+
+// Silence has the calls that are open fall silent, which it returns: nothing more comes on their connections.
+func (d *Directory) Silence() (calls []OpenCall) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	close(d.silence)
 	d.silence = make(chan struct{})
+	for c := range d.open {
+		calls = append(calls, *c)
+	}
+	return calls
 }
 
-func (d *Directory) silenced() <-chan struct{} {
+// enter records an open call. It returns what is closed when the call falls silent, and what is to be called at its end.
+func (d *Directory) enter(c *OpenCall) (silence <-chan struct{}, leave func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.silence
+	d.open[c] = struct{}{}
+	return d.silence, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.open, c)
+	}
 }
 
 // Down has calls fail from now on, watches too, or no longer.
@@ -68,7 +85,7 @@
 		return nil, fmt.Errorf("stand-in discovery: %w", err)
 	}
 	life, stop := context.WithCancel(context.Background())
-	d := &Directory{Listener: ln, Calls: make(chan string, maxCalls), stop: stop, lists: []member.List{first}, changed: make(chan struct{}), silence: make(chan struct{})}
+	d := &Directory{Listener: ln, Calls: make(chan string, maxCalls), stop: stop, lists: []member.List{first}, changed: make(chan struct{}), silence: make(chan struct{}), open: map[*OpenCall]struct{}{}}
 	d.srv = &http.Server{Handler: d, ReadHeaderTimeout: 10 * time.Second, BaseContext: func(net.Listener) context.Context { return life }}
 	d.wg.Go(func() { d.srv.Serve(ln) }) //nolint:errcheck // ends when it is closed
 	return d, nil
@@ -99,8 +116,10 @@
 	}
 	after := r.URL.Query().Get("after")
 	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	end := time.After(time.Duration(ms) * time.Millisecond)
-	silence := d.silenced()
+	wait := time.Duration(ms) * time.Millisecond
+	end := time.After(wait)
+	silence, leave := d.enter(&OpenCall{At: time.Now(), Wait: wait})
+	defer leave()
 	for {
 		if d.isDown() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -113,6 +132,7 @@
 		}
 		select {
 		case <-silence:
+			leave()
 			<-r.Context().Done() // the router has given the call up
 			return
 		case <-changed:
