Fronts: answers on their way outlast the eviction of a client that reads slowly

Cause: an evicted client was given up when it had acknowledged nothing for 0.25 s, less than the time in which a slow link takes half a receive buffer, which is the step in which it acknowledges. And answers on their way kept a connection from eviction for 1 s only, also where its tenant had another that was idle.

Why it works: what a client takes in steps of under 1 s all arrives, and one that reads nothing still holds its slot for some 2 s at most.

--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -21,8 +21,9 @@
 	maxCrossingTime = 50 * time.Millisecond
 	// deliveryGrace is how long a connection is not evicted for its idleness while its answers are on their way.
 	deliveryGrace = time.Second
-	// evictionPatience is how long the client of an evicted connection may acknowledge nothing: others wait for its slot.
-	evictionPatience = 250 * time.Millisecond
+	// evictionPatience is how long the client of an evicted connection may acknowledge nothing: others wait for its slot. A
+	// link acknowledges half a receive buffer at a time.
+	evictionPatience = time.Second
 	// deliveryReserve is by what factor a client may take its answers more slowly than before.
 	deliveryReserve = 1.25
 	// deliveryMargin is how long before the limit a client should have its answers: it acknowledges in steps.
@@ -34,12 +35,6 @@
 // undelivered reports whether answers that were written have not been acknowledged.
 func (c *clientConn) undelivered() bool { return sock.Unacknowledged(c.Conn) > 0 }
 
-// awaitsAcknowledgment reports whether answers of a connection that has been idle since the given time are likely to be on
-// their way. It bounds by time for how long a client that reads nothing holds its slot.
-func (c *clientConn) awaitsAcknowledgment(idleSince time.Time) bool {
-	return time.Since(idleSince) < deliveryGrace && c.undelivered()
-}
-
 // deliveryPatience returns for how long a client may acknowledge nothing until its answers are given up.
 func (c *clientConn) deliveryPatience() time.Duration {
 	c.mu.Lock()
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -170,12 +170,21 @@
 // evictIdle closes the connection that has been idle for longest, of the tenant chosen by the limiter.
 // Reports whether there was one.
 func (m *ConnManager) evictIdle(rule evictionRule) bool {
-	type idleConn struct {
-		c     *clientConn
-		since time.Time
+	candidates := m.idleLongest(rule)
+	victim, ok := m.limiter.chooseVictim(rule.tenant, slices.Collect(maps.Keys(candidates)))
+	if ok {
+		candidates[victim].closeIfIdle()
 	}
-	longest := map[string]idleConn{} // one per tenant with an idle connection
+	return ok
+}
+
+// idleLongest returns, for each tenant with a connection that a rule allows to evict, the one that has been idle for
+// longest. One whose answers are on their way frees its slot late: it is returned only if its tenant has no other, and
+// not within deliveryGrace.
+func (m *ConnManager) idleLongest(rule evictionRule) map[string]*clientConn {
+	delivered, undelivered := idleConns{}, idleConns{}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	for c := range m.conns {
 		if c == rule.exclude || rule.sameTenant && c.tenant != rule.tenant {
 			continue
@@ -184,15 +193,34 @@
 		if rule.requireRest && (!c.countedActive.Load() || time.Since(since) < minRestTime) {
 			continue
 		}
-		current, found := longest[c.tenant]
-		if idle && (!found || since.Before(current.since)) && !c.awaitsAcknowledgment(since) {
-			longest[c.tenant] = idleConn{c, since}
+		switch {
+		case !idle || !delivered.isLonger(c.tenant, since):
+		case !c.undelivered():
+			delivered[c.tenant] = idleConn{c, since}
+		case time.Since(since) >= deliveryGrace && undelivered.isLonger(c.tenant, since):
+			undelivered[c.tenant] = idleConn{c, since}
 		}
 	}
-	m.mu.Unlock()
-	victim, ok := m.limiter.chooseVictim(rule.tenant, slices.Collect(maps.Keys(longest)))
-	if ok {
-		longest[victim].c.closeIfIdle()
+	out := map[string]*clientConn{}
+	for _, conns := range []idleConns{undelivered, delivered} {
+		for tenant, idle := range conns {
+			out[tenant] = idle.c
+		}
 	}
-	return ok
+	return out
+}
+
+// idleConns has one idle connection for each tenant.
+type idleConns map[string]idleConn
+
+type idleConn struct {
+	c     *clientConn
+	since time.Time
+}
+
+// isLonger reports whether a connection that has been idle since the given time has been so for longer than that of its
+// tenant.
+func (s idleConns) isLonger(tenant string, since time.Time) bool {
+	current, found := s[tenant]
+	return !found || since.Before(current.since)
 }
--- a/internal/router/delivery_test.go
+++ b/internal/router/delivery_test.go
@@ -342,3 +342,41 @@
 		t.Errorf("answered after %v", took)
 	}
 }
+
+// Guards against answers that are thrown away as their connection is evicted while a client reads them slowly: nothing is read
+// on an evicted connection, so only the wait for the client keeps its next request from resetting it.
+func TestAnswersOnTheirWayOutlastTheEvictionOfASlowReader(t *testing.T) {
+	const (
+		pause   = 6 * linkPause           // ahead of each piece: the answers take three seconds
+		evicted = 1500 * time.Millisecond // by when: answers on their way keep a connection for a second
+	)
+	s := startFake(t, longAnswer(linkValue))
+	_, addr := startFront(t, clients.Protocol{}, 1, box("s-0000000b", s.Addr))
+	l := &linkedClient{name: "c", speaks: metaDialect, conn: dialLink(t, addr)}
+	defer l.conn.Close()
+	l.conn.SetDeadline(time.Now().Add(wait)) //nolint:errcheck // the test takes longer without
+	for range linkDepth {
+		l.send()
+	}
+	for range linkDepth {
+		next(t, s.Seen, "request at the server")
+	}
+	began := time.Now()
+	dial(t, addr).send("mn\r\n") // waits for the only slot
+	further := time.AfterFunc(evicted, func() {
+		io.WriteString(l.conn, metaDialect.ask("next")) //nolint:errcheck // its connection ends
+	})
+	defer further.Stop()
+	in := bufio.NewReaderSize(slowLink{l.conn, pause}, linkPiece)
+	for i, r := range l.requests {
+		if answer, err := metaDialect.read(in); answer != wholeValue || err != nil {
+			t.Fatalf("answer %d of %d, to %s, after %v: %.40q, %v", i+1, linkDepth, r.id, time.Since(began), answer, err)
+		}
+	}
+	if took := time.Since(began); took < evicted+time.Second {
+		t.Errorf("all read after %v, which tests nothing", took)
+	}
+	if answer, err := metaDialect.read(in); err == nil {
+		t.Errorf("the connection was not evicted: %.40q", answer)
+	}
+}
