Soak: a request that was never written is sent on another connection, not counted as lost

Cause, by reading the harness where it words that: the client had opened a connection, the router (out of service, full of a crowd) had ended it, and the client's reader had seen the end before the request was written; so write returned without writing, and the request counted as lost on a new connection. PROTOCOL: "A router has taken a request once its last byte is written to a connection that the router's machine accepted"; not a byte of it was.

Change: such a request goes to another connection, ten times at most; it is checked there as any other. What is written and then closed is checked as before.

--- a/internal/fleettest/soak/client.go
+++ b/internal/fleettest/soak/client.go
@@ -151,11 +151,13 @@
 		c.group.ledger.update(func() { r.NewConn, r.Sent = fresh, time.Now() })
 	}
 	c.used = true
-	c.pending = append(c.pending, requests...)
 	closed := c.closed
+	if !closed {
+		c.pending = append(c.pending, requests...)
+	}
 	c.mu.Unlock()
-	if closed {
-		c.lost("was closed ahead of the request")
+	if closed { // nothing was written: no router has taken the requests
+		c.group.sendElsewhere(requests)
 		return
 	}
 	io.WriteString(c.Conn, text.String()) //nolint:errcheck // the reader sees it
@@ -333,7 +335,25 @@
 	}
 }
 
-// resend sends a request once more, on a new connection.
+// maxUnwritten bounds the connections that may have been closed ahead of a request.
+const maxUnwritten = 10
+
+// sendElsewhere sends requests on other connections that were not written, as theirs was closed.
+func (g *clientGroup) sendElsewhere(requests []*Request) {
+	for _, r := range requests {
+		var unwritten int
+		g.ledger.update(func() {
+			r.Unwritten++
+			unwritten = r.Unwritten
+			r.Excused = r.Excused || unwritten > maxUnwritten // it was never sent
+		})
+		if unwritten <= maxUnwritten {
+			g.wg.Go(func() { g.resend(r) })
+		}
+	}
+}
+
+// resend sends a request on a new connection: once more, or for the first time.
 func (g *clientGroup) resend(r *Request) {
 	end := time.Now().Add(3 * time.Second)
 	for time.Now().Before(end) {
--- a/internal/fleettest/soak/ledger.go
+++ b/internal/fleettest/soak/ledger.go
@@ -71,6 +71,8 @@
 	NewConn bool          // it was the first request of its connection
 	Resends int           // how often it was sent again after an unread close,
 	Waited  time.Duration // and how long it had lain unread by then
+	// Unwritten is how many connections were closed before it was written.
+	Unwritten int
 
 	Outcome  Outcome
 	Answers  int
