Discovery: the late answer to a call that was repeated meanwhile is dropped

Found by reading once more.

Cause: the overdue call stayed in use when its repetition was answered.

Change: it is given up then. Why it works: nothing that it brings is newer.

Test: TestLateAnswerToARepeatedCallIsDropped, without the line a fourth call, for the whole list; now three.

--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -65,6 +65,9 @@
 		select {
 		case r := <-p.end:
 			p.cancel()
+			if r.err == nil {
+				d.dropOverdue() // its answer would be older
+			}
 			return r.list, r.err
 		case r := <-d.overdueEnd():
 			d.dropOverdue()
--- a/internal/member/tier_test.go
+++ b/internal/member/tier_test.go
@@ -78,14 +78,19 @@
 	if away {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
+	return dialHandler(q), nil
+}
+
+// dialHandler returns the router's end of a connection to a service.
+func dialHandler(service http.Handler) net.Conn {
 	ours, theirs := net.Pipe()
-	go q.serve(theirs)
-	return ours, nil
+	go serveConn(service, theirs)
+	return ours
 }
 
-// serve answers the calls on a connection, which is closed once the router has closed its end or a fault has ended it.
-func (q *queuedService) serve(c net.Conn) {
-	srv := &http.Server{Handler: q} //nolint:gosec // no network
+// serveConn answers the calls on a connection, which is closed once the router has closed its end or a fault has ended it.
+func serveConn(service http.Handler, c net.Conn) {
+	srv := &http.Server{Handler: service} //nolint:gosec // no network
 	l := &oneConn{conn: c, closed: make(chan struct{})}
 	srv.ConnState = func(_ net.Conn, s http.ConnState) {
 		if s == http.StateClosed {
@@ -480,3 +485,42 @@
 		}
 	})
 }
+
+// Guards against a full list that is asked for, and a poll that is ended, by the late answer to a call that was repeated
+// meanwhile: it is older than the answer to the repetition.
+func TestLateAnswerToARepeatedCallIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var queries []string
+		service := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			queries = append(queries, r.URL.RawQuery)
+			call := len(queries)
+			mu.Unlock()
+			switch call {
+			case 1:
+				time.Sleep(8 * time.Second) // repeated meanwhile
+				fmt.Fprint(w, `{"version":2,"servers":[]}`)
+			case 2:
+				fmt.Fprint(w, `{"version":3,"servers":[]}`)
+			default:
+				<-r.Context().Done()
+			}
+		})
+		d := NewDiscovery("discovery:1", true, 1, func(List) {}, func() {})
+		d.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) { return dialHandler(service), nil } //nolint:forcetypeassert // it is one
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		d.RequestWatch()
+		running.Go(func() { d.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		stop()
+		running.Wait()
+		time.Sleep(time.Minute) // the service's ends of the connections
+		mu.Lock()
+		defer mu.Unlock()
+		if len(queries) != 3 {
+			t.Errorf("calls %q, want a short poll, its repetition and a long poll", queries)
+		}
+	})
+}
