Tests of discovery in virtual time: no channel timer that crashes the race detector

Seen again here: 1 of 3 plays of the package with -race beside each other, and 1 of 32 of one of its tests; PC in the detector's stack depot, which hashed a stack of 2^32-1 frames.

Cause: the tests' discovery service takes a time.After before it sleeps for the turn of a call. Where both end in the same moment, the receiver finds the timer expired and runs it itself, beside the timers of the bubble; the runtime has both use the one race context of the bubble, whose stack of calls then underflows (maybeRunChan and unlockAndRun in runtime/time.go, 1.26.8). No code of the project is wrong, and there is no data race: 300 goroutines that do nothing else crash the detector in 4 of 4 plays, and in 0 of 4 if they receive before the timer expires.

Change: a context with a timeout, whose timer only the bubble runs. Nothing is left out, the race detector stays on.

--- a/internal/member/tier_test.go
+++ b/internal/member/tier_test.go
@@ -184,14 +184,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	over := time.After(max(turn, wait))
+	// Not time.After: a channel timer that expires before it is received from crashes the race detector in a bubble of
+	// synctest, as its receiver runs it beside the timers of the bubble, on their race context.
+	open, done := context.WithTimeout(r.Context(), max(turn, wait))
+	defer done()
 	time.Sleep(turn)
 	if after == version {
 		select {
 		case <-changed:
-		case <-over:
-		case <-r.Context().Done():
-			return
+		case <-open.Done():
 		case <-broken:
 			q.mu.Lock()
 			fault = q.fault
