Tests of discovery: a poll that comes in the moment of a break has its own bound

Cause, by a trace of the calls: the test. The break comes 3.000 s behind a change, the moment in which the last of 300 routers is answered and polls again. Where that poll comes just ahead of the break, it falls silent with the others, but the test took the open poll of a router from the times of the calls, all before the break, so that the router got the bound of its answered one. In the trace the poll had a wait of 11.601 s, so that its bound was 13.601 s; it was given up after 12.601 s and the drain known at 12.612 s, in time.

Change: the service records which polls it breaks, and the bound of a router follows from that. As strict else: a router without such a poll has 6 s from the break as before.

--- a/internal/member/tier_test.go
+++ b/internal/member/tier_test.go
@@ -37,16 +37,16 @@
 	maxWait  time.Duration // a call that would wait longer for its turn fails with 503
 	delay    time.Duration // of each answer on its way
 
-	mu       sync.Mutex
-	freeAt   time.Time     // when its queue will be empty
-	version  int64         // of the list
-	drains   bool          // the server drains
-	changed  chan struct{} // closed at each change of the list
-	broken   chan struct{} // closed when open calls fall silent or are reset
-	fault    serviceFault  // of calls that are open when broken is closed, and of later ones while lasting is set
-	lasting  bool
-	calls    []serviceCall
-	brokenAt time.Time // when calls were last broken
+	mu          sync.Mutex
+	freeAt      time.Time     // when its queue will be empty
+	version     int64         // of the list
+	drains      bool          // the server drains
+	changed     chan struct{} // closed at each change of the list
+	broken      chan struct{} // closed when open calls fall silent or are reset
+	fault       serviceFault  // of calls that are open when broken is closed, and of later ones while lasting is set
+	lasting     bool
+	calls       []serviceCall
+	brokenPolls map[string]serviceCall // by router, the open poll that was broken; the last one of each
 }
 
 // serviceCall is a call of a router.
@@ -67,7 +67,8 @@
 )
 
 func newQueuedService(workTime time.Duration) *queuedService {
-	return &queuedService{workTime: workTime, maxWait: 2 * time.Second, version: 1, changed: make(chan struct{}), broken: make(chan struct{})}
+	return &queuedService{workTime: workTime, maxWait: 2 * time.Second, version: 1, changed: make(chan struct{}), broken: make(chan struct{}),
+		brokenPolls: make(map[string]serviceCall)}
 }
 
 // dial implements http.Transport.DialContext.
@@ -132,7 +133,7 @@
 func (q *queuedService) fail(f serviceFault, lasting bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.fault, q.lasting, q.brokenAt = f, lasting, time.Now()
+	q.fault, q.lasting = f, lasting
 	close(q.broken)
 	q.broken = make(chan struct{})
 }
@@ -148,8 +149,7 @@
 func (q *queuedService) takeTurn(c serviceCall) (wait time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
-	c.at = now
+	now := c.at
 	q.calls = append(q.calls, c)
 	if q.freeAt.Before(now) {
 		q.freeAt = now
@@ -178,15 +178,15 @@
 		after = -1
 	}
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms")) //nolint:errcheck // no wait
-	wait := time.Duration(waitMS) * time.Millisecond
-	turn, ok := q.takeTurn(serviceCall{router: r.Host, wait: wait, knows: drains && after == version})
+	c := serviceCall{router: r.Host, at: time.Now(), wait: time.Duration(waitMS) * time.Millisecond, knows: drains && after == version}
+	turn, ok := q.takeTurn(c)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	// Not time.After: a channel timer that expires before it is received from crashes the race detector in a bubble of
 	// synctest, as its receiver runs it beside the timers of the bubble, on their race context.
-	open, done := context.WithTimeout(r.Context(), max(turn, wait))
+	open, done := context.WithTimeout(r.Context(), max(turn, c.wait))
 	defer done()
 	time.Sleep(turn)
 	if after == version {
@@ -194,10 +194,7 @@
 		case <-changed:
 		case <-open.Done():
 		case <-broken:
-			q.mu.Lock()
-			fault = q.fault
-			q.mu.Unlock()
-			q.breakCall(r, fault)
+			q.breakCall(r, q.breakPoll(c))
 			return
 		}
 	}
@@ -220,6 +217,16 @@
 	return l
 }
 
+// breakPoll records that an open poll is broken, and returns by which fault.
+func (q *queuedService) breakPoll(c serviceCall) serviceFault {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if c.at.After(q.brokenPolls[c.router].at) {
+		q.brokenPolls[c.router] = c
+	}
+	return q.fault
+}
+
 // breakCall ends a call by a fault.
 func (q *queuedService) breakCall(r *http.Request, f serviceFault) {
 	if f == silent {
@@ -248,17 +255,12 @@
 	return n, peak
 }
 
-// openPolls returns the calls that were open when calls were last broken, by router: the last one of each before it.
-func (q *queuedService) openPolls() map[string]serviceCall {
+// brokenPoll returns the open poll of a router that was broken last, if there is one.
+func (q *queuedService) brokenPoll(router string) (c serviceCall, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	open := map[string]serviceCall{}
-	for _, c := range q.calls {
-		if c.at.Before(q.brokenAt) {
-			open[c.router] = c
-		}
-	}
-	return open
+	c, ok = q.brokenPolls[router]
+	return c, ok
 }
 
 // tierRouter is the part of a router that asks for lists: a client of discovery and the decision when to ask.
@@ -423,14 +425,13 @@
 		service.change(true)
 		time.Sleep(2 * usualCalls)
 	})
-	open := service.openPolls()
 	late, latest := 0, time.Duration(math.MinInt64)
 	for _, r := range tier {
 		announced := drained.Add(announcedWithin)
-		if poll := open[r.host]; trouble.fault == silent && !trouble.lasting {
-			announced = poll.at.Add(poll.wait + announcedAfterWait)
-			if end := broke.Add(announcedWithin); end.After(announced) {
-				announced = end
+		if trouble.fault == silent && !trouble.lasting {
+			announced = broke.Add(announcedWithin)
+			if poll, ok := service.brokenPoll(r.host); ok && poll.at.Add(poll.wait+announcedAfterWait).After(announced) {
+				announced = poll.at.Add(poll.wait + announcedAfterWait)
 			}
 		}
 		after := r.drainedAt.Sub(announced)
