Fronts: a reader whose input does not run dry yields to readers that wait for their turn

Cause: a router has one core, so one run queue. Busy readers and the engine wake each other, and the scheduler runs them ahead of readers that the network has made ready. Evidence, a log of reads: reads of other clients ended after 208 to 609 ms with several requests of one client each, the last of which had come 0 to 172 ms before. A request counts from the end of a read that waits, so what it had lain unread was passed to servers once more.

Change: a reader whose last read found its input already there yields before the next read. Why it works: it goes behind the readers that are ready, so their input does not lie.

Not excluded by the log: reads that had found their input and were held up.

--- a/internal/fleettest/mutants/mutants.go
+++ b/internal/fleettest/mutants/mutants.go
@@ -80,6 +80,7 @@
 	{"requests admitted long after out-of-service", []Edit{{boundsFile, "ok = now <= b.AdmitUntil && deadline", "ok = deadline"}}},
 	{"requests admitted that end after the router has to be empty", []Edit{{boundsFile, " && deadline <= b.LatestDeadline", ""}}},
 	{"closing connection not read", []Edit{{"internal/front/closing.go", "	if !limited || now.Before(until) {\n", "	if !limited && until.IsZero() {\n"}}},
+	{"busy readers do not yield", []Edit{{"internal/front/conn.go", "	if c.arrival.flowing {\n", "	if false {\n"}}},
 	{"bounds of a drain outlast it", []Edit{{"internal/router/control.go", "	if bounds == d.bounds {\n", "	if bounds == d.bounds || bounds == drain.Unbounded() {\n"}}},
 	{"rejected request keeps its memory", []Edit{{"internal/engine/engine.go", "	e.ids.release(q.ID)\n	e.HeldBytes.Release(q.HeldBytes)\n	e.countAnswer", "	e.ids.release(q.ID)\n	e.countAnswer"}}},
 	{"drain gate off", []Edit{{"internal/engine/checks.go", "since > 0 && now-since > drainGrace-maxProcessPause-timeLimitSlack", "since < 0 && now-since > drainGrace-maxProcessPause-timeLimitSlack"}}},
--- a/internal/fleettest/soak/soak_test.go
+++ b/internal/fleettest/soak/soak_test.go
@@ -80,6 +80,23 @@
 	t.Logf("exercised in all plays: %v %v", slices.Sorted(maps.Keys(total)), total)
 }
 
+// pipelineSeed draws six clients that pipeline cheap commands at full speed to one of twelve routers.
+const pipelineSeed = 214
+
+// Guards against servers that are passed more time than a client has left, as its request had lain unread beside clients
+// that pipeline: the scheduler ran their readers and the engine in turn, and the client's reader behind them.
+func TestSoakBesideClientsThatPipeline(t *testing.T) {
+	plan := Draw(pipelineSeed, Size{Routers: [2]int{min(10, *routers), *routers}, Length: *length})
+	if !slices.ContainsFunc(plan.Faults, func(f Fault) bool { return f.Loud == LoudPipeline }) {
+		t.Fatalf("seed %d has no clients that pipeline:\n%v", pipelineSeed, plan)
+	}
+	r, err := Play(t.Context(), *program, t.TempDir(), plan, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report(t, plan, r)
+}
+
 // askedLength is for how long clients send to routers that ask for their lists: what a silent watch of 12 s has missed is
 // notified by then.
 const askedLength = 24 * time.Second
--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -9,6 +9,7 @@
 	earliest  float64 // earliest possible arrival of the last input
 	lastEmpty float64 // when the connection was last known to hold no input
 	readStart float64 // when the current read began
+	flowing   bool    // the last read found its input already there
 }
 
 // minBlockedReadMS is the minimum duration, in ms, of a read that had to wait for input.
@@ -22,7 +23,7 @@
 	if n == 0 {
 		return
 	}
-	if now-a.readStart >= minBlockedReadMS {
+	if a.flowing = now-a.readStart < minBlockedReadMS; !a.flowing {
 		a.lastEmpty = now
 	}
 	if a.earliest = a.lastEmpty; n < size {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -164,7 +165,13 @@
 
 // Read reads client input; only the reader calls it. It retries while system buffers are short, and extends
 // the deadline of a command with a long value by the number of its bytes.
+//
+// A reader whose input does not run dry yields before each read. The scheduler would go on running it and the goroutines
+// that it wakes ahead of readers that the network has made ready, whose input would lie unread.
 func (c *clientConn) Read(b []byte) (int, error) {
+	if c.arrival.flowing {
+		runtime.Gosched()
+	}
 	c.arrival.readStarted(c.manager.engine.Now())
 	n, err := c.Conn.Read(b)
 	for end := time.Now().Add(bufferRetryTimeout); n <= 0 && sock.IsOutOfBuffers(err) && time.Now().Before(end); {
